Fail the attempt when an answer has a header line without a colon

Netty's response decoder allows blanks before a header's colon and so read "no colon here" as a header without a value; the answer then counted as a whole 200 and was served. It cannot be read under the protocol, which makes it a failed attempt that may have run. ResponseDecoder requires the colon; blanks before it are still accepted.

--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -14,10 +14,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -237,7 +237,7 @@
                         protected void initChannel(Channel made) {
                             channel = made;
                             made.closeFuture().addListener(closed -> connections--);
-                            made.pipeline().addLast(new HttpClientCodec(),
+                            made.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
                                     new HttpObjectAggregator(LARGEST_ANSWER), Connection.this);
                         }
                     })
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -106,6 +106,28 @@
         }
     }
 
+    /** What can't be read may have run, and its body is no answer, however whole it looks. */
+    @Test
+    void unreadableAnswerIsNotServed() throws Exception {
+        for (String bad : List.of("HTTP/1.1 200 OK\r\nno colon here\r\n", "HTTP/1.1 200 OK\r\nno \t\r\n",
+                "HTTP/1.1 200 OK\r\nnone\r\n", "HTTP/1.1 200 OK\r\nno colon: here\r\n",
+                "HTTP/1.1 200 OK\r\n: nameless\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n")) {
+            Stub.Script garbles = (socket, head) -> {
+                Stub.write(socket, bad + "Content-Length: 1\r\n\r\nx");
+                return true;
+            };
+            try (Stub upstream = new Stub(garbles); Bed bed = Bed.with(upstream)) {
+                assertEquals(502, bed.ask(Bed.post("book", "", "b")).status(), bad);
+                Stub.next(upstream.ended);
+            }
+        }
+        Stub.Script odd = (socket, head) -> Stub.reply(socket, "200 OK", "Empty:\r\nBlank : b\r\n", "x");
+        try (Stub upstream = new Stub(odd); Bed bed = Bed.with(upstream)) {
+            assertEquals("x", bed.ask(Bed.post("book", "", "b")).body(), "odd, but readable");
+        }
+    }
+
     /** A repeat is harmless for a safe request and for one whose key the upstreams know. */
     @Test
     void safeAndKeyedRequestsAreSentAgainAfterAReset() throws Exception {
