Keep a watch on discovery open where list changes come unprompted

With discovery=automatic the module asks for nothing, and the network code opened a watch only on the module's order: the sidecar knew no list but the one in its configuration. It sent to drained upstreams and, through reused addresses, to ones it had never been told of. Discovery.follow now keeps a watch open, renews it after 50 to 800 ms, and tells the module of changes alone, as the simulator does.

Ruled out: changes that arrive and get lost on the way (with all discovery traffic logged, there was none).

--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/sidecar/Discovery.java
@@ -32,12 +32,18 @@
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.State;
 
-/** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
+/**
+ * Asks discovery for the list: a watch on its changes, or the whole once. Where changes are to come
+ * unprompted, a watch is kept open from here; else the module decides when.
+ */
 final class Discovery {
     /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
     private static final long SILENCE_MS = 5_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int LONGEST_LINE = 4 << 20;
+    /** Between a broken watch and the next; discovery's agent is on this machine and answers at no cost. */
+    private static final long FIRST_WAIT_MS = 50;
+    private static final long LONGEST_WAIT_MS = 800;
 
     /** One line of the list; names are still discovery's. */
     record Target(String uid, InetSocketAddress endpoint, String zone, String kind, int cell, State state,
@@ -84,8 +90,10 @@
     private final BiConsumer<ListKind, List<Target>> listener;
     private long rev;
     private Call watch;
+    private boolean following;
+    private long waitMs = FIRST_WAIT_MS;
 
-    /** Tells {@code listener} of each answer and each failure, on the loop. */
+    /** Tells {@code listener}, on the loop, of each answer and each failure of what the module asked for. */
     Discovery(EventLoop loop, InetSocketAddress address, long rev,
             BiConsumer<ListKind, List<Target>> listener) {
         this.loop = loop;
@@ -94,6 +102,12 @@
         this.listener = listener;
     }
 
+    /** Keeps a watch open from now on: the module is told of changes that it need not ask for. */
+    void follow() {
+        following = true;
+        watch(true);
+    }
+
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
     void watch(boolean on) {
         if (watch != null) {
@@ -174,10 +188,32 @@
                 if (watch == this) {
                     watch = null;
                 }
-                listener.accept(ListKind.FAILED, List.of());
+                if (watching && following) {
+                    followAgain();
+                } else {
+                    listener.accept(ListKind.FAILED, List.of());
+                }
             }
         }
 
+        /** The list last known holds meanwhile; one line tells of a row of failures. */
+        private void followAgain() {
+            if (waitMs == FIRST_WAIT_MS) {
+                System.err.println("discovery: watch at " + address + " broken, rev " + rev + " holds");
+            }
+            loop.schedule(() -> {
+                if (watch == null) {
+                    watch(true);
+                }
+            }, waitMs, TimeUnit.MILLISECONDS);
+            waitMs = Math.min(2 * waitMs, LONGEST_WAIT_MS);
+        }
+
+        private void answered() {
+            answered = true;
+            waitMs = FIRST_WAIT_MS;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) throws IOException {
             if (over) {
@@ -216,7 +252,7 @@
                     take();
                 } else if (watching && !answered) {
                     // Nothing has changed since the version known: that, too, is the watch's answer.
-                    answered = true;
+                    answered();
                     listener.accept(ListKind.DELTA, List.of());
                 }
             }
@@ -231,7 +267,7 @@
             }
             Listing listing = Listing.of(node);
             rev = listing.rev();
-            answered = true;
+            answered();
             listener.accept(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
         }
 
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -66,6 +66,7 @@
     private final Balancer rules;
     private final int tryLimit;
     private final int mostOpen;
+    private final boolean automatic;
     private final Upstreams upstreams;
     private final Discovery discovery;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -83,6 +84,7 @@
         this.rules = new Rules(settings, config.seed(), this);
         this.tryLimit = settings.allowed().tryLimit();
         this.mostOpen = mostOpen;
+        this.automatic = settings.discovery() == Balancer.Discovery.AUTOMATIC;
         this.upstreams = new Upstreams(loop, config.options(), config.sockets() / 2);
         this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
         config.options().list("zones").forEach(zone -> number(zones, zone));
@@ -93,6 +95,9 @@
     void start(Discovery.Listing known) {
         tell(rules::start);
         listed(ListKind.CACHED, known.targets());
+        if (automatic) {
+            discovery.follow();
+        }
     }
 
     /** Nanoseconds since 1970 that never run back, so that start times in the list can be compared. */
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -224,6 +224,13 @@
     /** From watch to sends: a drain that is told ends new work there, and a broken watch is renewed. */
     @Test
     void toldDrainIsKeptAndABrokenWatchRenewed() throws Exception {
+        for (String how : List.of("automatic", "subscribe")) {
+            drainIsKeptAndWatchRenewed(how);
+        }
+    }
+
+    /** Unprompted or asked for, on the socket it is one and the same watch. */
+    private static void drainIsKeptAndWatchRenewed(String how) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub drained = Stub.serving("x"); Stub other = Stub.serving("y")) {
             String line = "{\"rev\":42,\"all\":false,\"targets\":["
@@ -241,7 +248,7 @@
                 return false;
             })) {
                 ObjectNode json = Bed.json(drained, other).put("discovery", discovery.endpoint());
-                json.withObject("/settings").put("discovery", "subscribe");
+                json.withObject("/settings").put("discovery", how);
                 try (Bed bed = new Bed(json)) {
                     while (drained.heads.isEmpty()) {
                         assertEquals(200, bed.ask(Bed.look("a")).status());
