Close client connections that bring no whole request in time

Nothing limited how long a connection waited for a request. Peers that connect and send nothing, or only part of a request, held their places for good; once they fill the limit (three eighths of the descriptors) every further connection is answered 503 after one request. A connection now has 2.2 s for its first whole request and 5 s for each next one.

--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
@@ -32,6 +33,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Semantics;
 import pondridge.Options;
@@ -39,6 +41,10 @@
 /** The application's side: reads requests, answers each once, and tells malformed ones so itself. */
 final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
+    /** Whoever has sent no whole request by then is told by a close; a client sends at once. */
+    private static final long FIRST_REQUEST_MS = 2_200;
+    /** From an answer to the end of the next request; longer than most clients pause. */
+    private static final long NEXT_REQUEST_MS = 5_000;
 
     private final Engine engine;
     private final List<RequestClass> classes;
@@ -120,10 +126,19 @@
         private boolean busy;
         private boolean keepAlive;
         private long request;
+        private Future<?> patience;
 
         Connection(Channel channel) {
             this.channel = channel;
             connections.add(this);
+            await(FIRST_REQUEST_MS);
+        }
+
+        /** Connections are few: one that waits for a peer, to send or to read, does so for a limited time. */
+        private void await(long limitMs) {
+            patience = channel.eventLoop().schedule(() -> {
+                channel.close();
+            }, limitMs, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -141,6 +156,7 @@
         private void take(FullHttpRequest message) {
             busy = true;
             request = 0;
+            patience.cancel(false);
             keepAlive = HttpUtil.isKeepAlive(message);
             if (message.decoderResult().isFailure()) {
                 keepAlive = false;
@@ -210,6 +226,8 @@
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
+            patience.cancel(false);
+            await(NEXT_REQUEST_MS);
             ChannelFuture written = channel.writeAndFlush(response);
             if (!keep) {
                 written.addListener(ChannelFutureListener.CLOSE);
@@ -232,6 +250,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
+            patience.cancel(false);
             waiting.forEach(FullHttpRequest::release);
             waiting.clear();
             if (request != 0) {
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -166,6 +166,26 @@
         }
     }
 
+    /** Connections are few: peers that send nothing, or no end of a request, must not hold them for good. */
+    @Test
+    void peersThatSendNoWholeRequestAreClosed() throws Exception {
+        try (Stub upstream = Stub.serving("x"); Bed bed = Bed.with(upstream)) {
+            List<String> starts = List.of("", "GET /api/7f3a HTTP/1.1\r\nHost:",
+                    Bed.post("book", "", "body").replace("body", "b"));
+            for (String start : starts) {
+                try (Bed.Client peer = new Bed.Client(bed.address)) {
+                    Stub.write(peer.socket, start);
+                    assertEquals(-1, peer.socket.getInputStream().read(), "a close: " + start);
+                }
+            }
+            try (Bed.Client client = new Bed.Client(bed.address)) {
+                assertEquals(200, client.ask(Bed.look("a")).status());
+                assertEquals(-1, client.socket.getInputStream().read(), "also after an answer");
+            }
+            assertEquals(1, upstream.heads.size(), "none of them reached an upstream");
+        }
+    }
+
     /** Silent upstreams must not cost the client its answer: it comes while the client still waits. */
     @Test
     void silenceIsAnsweredBeforeTheClientsDeadline() throws Exception {
