Excuse shut upstreams up to the middle one where most are shut

Where about a quarter of the requests to six of eight upstreams were never answered, Health shut all six, and all work went to the two others until their limits were full and requests were refused while held. The rule for a trouble common to all took effect only when every gate was shut. Now, where more than half are shut and the open ones have no room, only upstreams slower than the middle one stay shut.

Ruled out: crowded client connections, dead connections, sizes of bodies.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -124,7 +124,7 @@
          * gates are shut to this request are passed over. Only first attempts turn the pointer: a walk for
          * a further attempt sees few entries and would make the turns uneven. Null if all gates are shut.
          */
-        Server pick(long now, Call call, boolean ignoreHealth) {
+        Server pick(long now, Call call, double excused) {
             if (!call.attempts.isEmpty() && !ledger.mayTryAgain(now, call)) {
                 return null;
             }
@@ -134,7 +134,7 @@
             for (int i = 0; i < order.size(); i++) {
                 int at = (start + i) % order.size();
                 Server server = order.get(at);
-                if (!mayTake(now, server, call, ignoreHealth)) {
+                if (!mayTake(now, server, call, excused)) {
                     continue;
                 }
                 if (pointed != null) {
@@ -157,7 +157,7 @@
             List<Server> open = new ArrayList<>(most);
             for (int i = 0; i < order.size() && open.size() < most; i++) {
                 Server server = order.get((pointer + i) % order.size());
-                if (mayTake(now, server, call, false)) {
+                if (mayTake(now, server, call, 0)) {
                     open.add(server);
                 }
             }
@@ -175,11 +175,12 @@
         }
     }
 
-    /** All gates, cheapest first. */
-    private boolean mayTake(long now, Server server, Call call, boolean ignoreHealth) {
+    /** All gates, cheapest first; the gate of health is open also to the {@code excused}. */
+    private boolean mayTake(long now, Server server, Call call, double excused) {
         return ledger.mayGoTo(call, server)
                 && server.inFlight < Math.max(1, (int) server.limit)
-                && (ignoreHealth || health.open(now, server, call) && !reports.crowded(server, call))
+                && (health.excuses(server, excused)
+                        || health.open(now, server, call) && !reports.crowded(server, call))
                 && roster.coldRoom(now, server, call);
     }
 
@@ -627,6 +628,24 @@
             return now >= server.nextTrial;
         }
 
+        /**
+         * Up to which slowness a shut gate is excused. Danger: a trouble common to all would empty the
+         * pattern, and one common to most would press all work on the few that are left. Gates that all shut
+         * do not count; where more than half are shut, only those slower than the middle one stay so.
+         */
+        double excusable(long now, Call call) {
+            long open = roster.ready.stream().filter(server -> open(now, server, call)).count();
+            if (open == 0 || 2 * open >= roster.ready.size()) {
+                return open == 0 ? Double.MAX_VALUE : 0;
+            }
+            double[] slowness = roster.ready.stream().mapToDouble(this::current).sorted().toArray();
+            return slowness[slowness.length / 2];
+        }
+
+        boolean excuses(Server server, double excused) {
+            return excused == Double.MAX_VALUE || server.connectFailures == 0 && current(server) <= excused;
+        }
+
         /** How many times slower than usual it answers; two answers are taken for granted. */
         private double current(Server server) {
             return (server.exposure + 2) / (server.heard + 2);
@@ -776,10 +795,9 @@
         }
 
         private boolean place(long now, Call call) {
-            Server server = pattern.pick(now, call, false);
-            // Danger: a trouble common to all would empty the pattern. Gates that all shut do not count.
-            if (server == null && roster.ready.stream().noneMatch(any -> health.open(now, any, call))) {
-                server = pattern.pick(now, call, true);
+            Server server = pattern.pick(now, call, 0);
+            if (server == null) {
+                server = pattern.pick(now, call, health.excusable(now, call));
             }
             if (server == null) {
                 return false;
