Free an upstream connection only once all that came with the answer is read

An answered connection was idle again while the same read still held a second answer. A held request placed by the first answer took it, and the surplus answer was served as its own, which breaks the rule on lost requests. The outcome is now told and the connection freed at the end of the read; a surplus answer closes the connection.

The test saw the surplus body served before the change.

--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -220,6 +220,8 @@
         private Channel channel;
         private Attempt current;
         private long idleSince;
+        private boolean closed;
+        private Runnable ending;
 
         Connection(Pool pool) {
             this.pool = pool;
@@ -267,6 +269,7 @@
         }
 
         void close() {
+            closed = true;
             pool.idle.remove(this);
             if (channel != null) {
                 channel.close();
@@ -287,16 +290,36 @@
                 return;
             }
             current = null;
-            if (HttpUtil.isKeepAlive(response) && attempt.written && pool.ready) {
-                idleSince = System.nanoTime();
-                pool.idle.addLast(this);
-            } else {
+            if (!HttpUtil.isKeepAlive(response) || !attempt.written) {
                 close();
             }
             Outcome outcome = outcome(response);
-            attempt.end(outcome, outcome == Outcome.OK ? new Engine.Answer(response.headers(),
-                    ByteBufUtil.getBytes(response.content())) : null,
-                    load(response, attempt.request.uri().equals(LOAD_PATH)));
+            Engine.Answer answer = outcome == Outcome.OK ? new Engine.Answer(response.headers(),
+                    ByteBufUtil.getBytes(response.content())) : null;
+            float[] load = load(response, attempt.request.uri().equals(LOAD_PATH));
+            ending = () -> attempt.end(outcome, answer, load);
+        }
+
+        /** All that came at once is read: a surplus answer has not been taken for the next request's. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (ending != null) {
+                if (!closed && pool.ready) {
+                    idleSince = System.nanoTime();
+                    pool.idle.addLast(this);
+                } else {
+                    close();
+                }
+                end();
+            }
+        }
+
+        private void end() {
+            Runnable ends = ending;
+            ending = null;
+            if (ends != null) {
+                ends.run();
+            }
         }
 
         @Override
@@ -314,6 +337,7 @@
 
         private void lost() {
             close();
+            end();
             if (current != null) {
                 current.broken();
             }
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamsTest.java
@@ -16,6 +16,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -50,9 +51,12 @@
         }).get();
     }
 
+    private static FullHttpRequest get(String uri) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+    }
+
     private void send(Upstreams upstreams) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/x");
-        loop.execute(() -> upstreams.send(1, request, LONG, this::ended));
+        loop.execute(() -> upstreams.send(1, get("/api/x"), LONG, this::ended));
     }
 
     private void ended(Outcome outcome, Engine.Answer answer, float[] load) {
@@ -156,6 +160,25 @@
         }
     }
 
+    /** Who answers one request twice must not have the second answer taken for the next request's. */
+    @Test
+    void surplusAnswerIsNobodys() throws Exception {
+        BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+        try (Stub upstream = new Stub((socket, head) -> {
+            String surplus = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus";
+            Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+                    + (head.startsWith("GET /first") ? surplus : ""));
+            return true;
+        })) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            Upstreams.Listener last = (outcome, answer, load) ->
+                    bodies.add(new String(answer.body(), StandardCharsets.ISO_8859_1));
+            loop.execute(() -> upstreams.send(1, get("/first"), LONG, (outcome, answer, load) ->
+                    upstreams.send(1, get("/next"), LONG, last)));
+            assertEquals("own", Stub.next(bodies));
+        }
+    }
+
     /** An answer beyond what a body may hold must not fill the memory. */
     @Test
     void overlongAnswerIsAnError() throws Exception {
