Log one bounded line for each request that ended badly, by its id and reason

The module now names a reason with each refusal and failure (Balancer.Reason), the engine writes id, class, end, reason, time and each try's upstream and outcome. At most 20 lines a second; the next line says how many were left out. Upstreams stand in it by the uid that every sidecar shares, so one request can be followed through all of them.

BadEndsTest fails without the bound and the cut. No decision is changed.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -60,6 +60,24 @@
     /** Which upstreams drop a repeat of a keyed request: all, those of one zone, those of one cell. */
     enum Scope { ALL, ZONE, CELL }
 
+    /** Why a request was given up: for operators, who follow it through the log. */
+    enum Reason {
+        /** Its time ran out. */
+        DEADLINE,
+        /** No upstream is ready. */
+        NO_UPSTREAM,
+        /** Shed while too few answers come in time. */
+        SHED,
+        /** It could hardly have been answered in time when it came. */
+        TOO_LATE,
+        /** Held until it could hardly be answered in time any more. */
+        HELD,
+        /** Every upstream that was asked holds too much. */
+        CROWDED,
+        /** An attempt failed, and a further one is not allowed or not worth its cost. */
+        ATTEMPT_FAILED
+    }
+
     /** State of an upstream in a list. */
     enum State { GONE, READY, DRAINING }
 
@@ -191,10 +209,10 @@
         void send(long request, long upstream, long timeout);
 
         /** Final answer: not done, a retry is harmless; {@code wait} 0 gives no guidance. */
-        void refuse(long request, long wait);
+        void refuse(long request, long wait, Reason reason);
 
         /** Final answer: failed, with no promise about effects. */
-        void fail(long request);
+        void fail(long request, Reason reason);
 
         /** Stops waiting for one attempt. */
         void cancel(long request, int attempt);
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -272,7 +272,7 @@
             calls.put(request.id(), call);
             alarms.set(call.deadline, at -> {
                 if (!call.streaming) {
-                    answer(call);
+                    answer(call, Reason.DEADLINE);
                 }
             });
             return call;
@@ -364,21 +364,21 @@
                     && admission.worthRetry(now, call)) {
                 admission.admit(now, call);
             } else {
-                answer(call);
+                answer(call, now >= call.deadline ? Reason.DEADLINE : Reason.ATTEMPT_FAILED);
             }
         }
 
         /** Gives the final answer: refused where a client's retry is known to be harmless, else failed. */
-        void answer(Call call) {
+        void answer(Call call, Reason reason) {
             if (call.closed) {
                 return;
             }
             boolean harmless = firstDoubt(call) == null || call.kind.semantics() == Semantics.REPEATABLE
                     || call.kind.semantics() == Semantics.BY_KEY && call.kind.scope() == Scope.ALL;
             if (harmless) {
-                actions.refuse(call.request.id(), admission.stayAway(call));
+                actions.refuse(call.request.id(), admission.stayAway(call), reason);
             } else {
-                actions.fail(call.request.id());
+                actions.fail(call.request.id(), reason);
             }
             close(call);
         }
@@ -752,19 +752,19 @@
         /** Sends a request now, or holds it while it can still be answered within its aim. */
         void admit(long now, Call call) {
             if (now >= call.deadline || roster.ready.isEmpty()) {
-                ledger.answer(call);
+                ledger.answer(call, now >= call.deadline ? Reason.DEADLINE : Reason.NO_UPSTREAM);
                 return;
             }
             int ease = call.request.clientRetry() ? 3 : 1;
             if (call.attempts.isEmpty() && !call.asked && random.nextDouble() < ease * shedding(now)) {
-                ledger.answer(call);
+                ledger.answer(call, Reason.SHED);
                 return;
             }
             if (reports.ask(now, call)) {
                 return;
             }
             if (call.attempts.isEmpty() && now + call.expected / 2 >= call.aimAt) {
-                ledger.answer(call);  // a client's later try that can hardly be in time
+                ledger.answer(call, Reason.TOO_LATE);  // a client's later try that can hardly be in time
             } else if (held > 0 || !place(now, call)) {
                 call.held = true;
                 share(call).held.push(call);
@@ -772,7 +772,7 @@
                 long hopeless = call.aimAt - (long) (1.5 * call.expected);  // later, half would be late
                 alarms.set(Math.max(now + 1, hopeless), at -> {
                     if (call.held) {
-                        ledger.answer(call);
+                        ledger.answer(call, Reason.HELD);
                     }
                 });
                 drain(now);
@@ -925,7 +925,7 @@
             if (least == Double.MAX_VALUE) {
                 call.looked = List.of();
             } else if (least > Math.max(usual, full)) {
-                ledger.answer(call);
+                ledger.answer(call, Reason.CROWDED);
                 return;
             }
             call.bar = least <= usual ? usual : full;
--- a/src/main/java/pondridge/adapter/Replies.java
+++ b/src/main/java/pondridge/adapter/Replies.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import pondridge.Balancer.Actions;
+import pondridge.Balancer.Reason;
 
 /** Collects the actions of one batch as a reply frame; written whole or not at all. */
 final class Replies {
@@ -73,13 +74,13 @@
         }
 
         @Override
-        public void refuse(long request, long wait) {
+        public void refuse(long request, long wait, Reason reason) {
             begin(2, 14, sidecar);
             buffer.putInt((int) request).putLong(wait);
         }
 
         @Override
-        public void fail(long request) {
+        public void fail(long request, Reason reason) {
             begin(3, 6, sidecar);
             buffer.putInt((int) request);
         }
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -19,6 +19,7 @@
 import pondridge.Balancer;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
+import pondridge.Balancer.Reason;
 import pondridge.Balancer.Request;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
@@ -54,6 +55,8 @@
         private final Client client;
         private long deadline;
         private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
+        private final List<BadEnds.Try> tries = new ArrayList<>(1);
+        private long takenAt;
         private int out;
         private boolean over;
 
@@ -70,8 +73,10 @@
     private final boolean automatic;
     private final Upstreams upstreams;
     private final Discovery discovery;
+    private final BadEnds badEnds = new BadEnds(System.err);
     private final Map<Long, Call> calls = new HashMap<>();
     private final Map<String, Long> upstreamIds = new HashMap<>();
+    private final Map<Long, String> upstreamNames = new HashMap<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> kinds = new HashMap<>();
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
@@ -141,6 +146,7 @@
         for (Discovery.Target target : targets) {
             long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
             named.put(id, target);
+            upstreamNames.put(id, target.uid());
             entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
                     target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
         }
@@ -163,15 +169,18 @@
     /** Takes a request; returns the number under which {@link #hangup} knows it. */
     long submit(Job job, Client client) {
         if (calls.size() >= mostOpen) {
+            turnedAway(job.headers());
             client.refused(0);
             return 0;
         }
         long id = ++lastId;
         long left = Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
         Call call = new Call(job, client);
+        call.takenAt = now();
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
+        loop.schedule(() -> endBadly(id, call, "failed", "OVERDUE", client::failed),
+                left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
         tell(now -> {
             call.deadline = now + left;
             rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
@@ -184,7 +193,7 @@
     void hangup(long id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
-            finish(id, call, () -> { });
+            endBadly(id, call, "left by its client", "GONE", () -> { });
             tell(now -> rules.hangup(now, id));
         }
     }
@@ -194,6 +203,21 @@
         return calls.values().stream().allMatch(call -> call.over);
     }
 
+    /** The frontend or the engine has no room for a request and has refused it unread. */
+    void turnedAway(HttpHeaders headers) {
+        badEnds.add(now(), () -> BadEnds.line(headers.get("Req-Id"), headers.get("Req-Kind"), "refused",
+                "NO_ROOM", 0, List.of()));
+    }
+
+    private void endBadly(long id, Call call, String end, String reason, Runnable answer) {
+        if (!call.over) {
+            long now = now();
+            badEnds.add(now, () -> BadEnds.line(call.job.headers().get("Req-Id"),
+                    call.job.headers().get("Req-Kind"), end, reason, now - call.takenAt, call.tries));
+        }
+        finish(id, call, answer);
+    }
+
     private void finish(long id, Call call, Runnable answer) {
         if (!call.over) {
             call.over = true;
@@ -217,6 +241,7 @@
         }
         int number = call.attempts.size();
         call.out++;
+        call.tries.add(new BadEnds.Try(upstreamNames.get(upstream), now));
         if (call.over || now >= call.deadline || number >= tryLimit) {
             call.attempts.add(null);
             ended(request, call, number, upstream, now, Outcome.NEVER_SENT, null, new float[0]);
@@ -247,6 +272,7 @@
             Answer answer, float[] load) {
         tell(now -> {
             call.out--;
+            call.tries.get(number).ended(outcome, now);
             if (outcome == Outcome.OK) {
                 finish(id, call, () -> call.client.served(answer));
             }
@@ -256,18 +282,18 @@
     }
 
     @Override
-    public void refuse(long request, long wait) {
+    public void refuse(long request, long wait, Reason reason) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, () -> call.client.refused(wait));
+            endBadly(request, call, "refused", reason.name(), () -> call.client.refused(wait));
         }
     }
 
     @Override
-    public void fail(long request) {
+    public void fail(long request, Reason reason) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, call.client::failed);
+            endBadly(request, call, "failed", reason.name(), call.client::failed);
         }
     }
 
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -167,6 +167,7 @@
             if (crowded) {
                 // A bare close would lose what the client has already written.
                 keepAlive = false;
+                engine.turnedAway(message.headers());
                 refused(0);
             } else if (path.equals("/up")) {
                 boolean up = ready && !draining;
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -10,6 +10,7 @@
 import pondridge.Balancer;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
+import pondridge.Balancer.Reason;
 import pondridge.Balancer.Request;
 import pondridge.Balancer.Settings;
 import pondridge.Balancer.State;
@@ -77,10 +78,10 @@
         public void send(long request, long upstream, long timeout) { }
 
         @Override
-        public void refuse(long request, long wait) { }
+        public void refuse(long request, long wait, Reason reason) { }
 
         @Override
-        public void fail(long request) { }
+        public void fail(long request, Reason reason) { }
 
         @Override
         public void cancel(long request, int attempt) { }
--- a/src/test/java/pondridge/Recorder.java
+++ b/src/test/java/pondridge/Recorder.java
@@ -9,6 +9,7 @@
 import pondridge.Balancer.Limits;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
+import pondridge.Balancer.Reason;
 import pondridge.Balancer.Request;
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Scope;
@@ -146,13 +147,13 @@
     }
 
     @Override
-    public void refuse(long request, long wait) {
+    public void refuse(long request, long wait, Reason reason) {
         log.add("refuse " + request + " " + wait);
         answers.add("refuse " + request);
     }
 
     @Override
-    public void fail(long request) {
+    public void fail(long request, Reason reason) {
         log.add("fail " + request);
         answers.add("fail " + request);
     }
--- a/src/test/java/pondridge/adapter/WireTest.java
+++ b/src/test/java/pondridge/adapter/WireTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.Actions;
+import pondridge.Balancer.Reason;
 import pondridge.Balancer.Semantics;
 import pondridge.Balancer.Settings;
 import pondridge.Options;
@@ -170,8 +171,8 @@
     void everyActionHasItsLayout() throws IOException {
         Replies replies = new Replies();
         Actions sink = replies.sink(2);
-        sink.refuse(1, 5);
-        sink.fail(1);
+        sink.refuse(1, 5, Reason.SHED);
+        sink.fail(1, Reason.DEADLINE);
         sink.cancel(1, 3);
         sink.probe(0x0000_0001_0050L);
         sink.closeIdle(1);
