Let shedding's evidence fade over two aims, so that it ends with its jam

What is shed brings no newer evidence, so the jam's late attempts alone decide for two to three windows, in every sidecar at once. Whether an attempt is in time shows within one aim; the window is now two.

RulesTest.sheddingEndsSoonAfterTheJam fails without the change: 14 of 20 requests sent eight aims after a jam.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -717,9 +717,12 @@
         private long drains;
         private final long[] firstLeft = new long[settings.classes().size()];
         private final int[] firstVotes = new int[settings.classes().size()];
-        /** Over eight aims: ten attempts at a few requests a second; one is taken for good at first. */
-        private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
-        private final FadingSum inTime = new FadingSum(8.0 * health.firstBackoff, 1);
+        /**
+         * Over two aims: whether an attempt was in time shows within one. Danger: shedding keeps newer
+         * evidence away, and older would shed long after its jam. One is taken for good at first.
+         */
+        private final FadingSum tried = new FadingSum(2.0 * health.firstBackoff, 1);
+        private final FadingSum inTime = new FadingSum(2.0 * health.firstBackoff, 1);
 
         Admission() {
             for (int i = 0; i < shares.length; i++) {
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -389,6 +389,30 @@
         assertTrue(host.sends.size() > before, "with every gate shut the pattern decides alone");
     }
 
+    @Test
+    void sheddingEndsSoonAfterTheJam() {
+        Recorder host = host(REPEATABLE).withUpstreams(20);
+        host.serve(0, 40, 0, 20 * MS);
+        host.burst(100, 140, 0);
+        host.advance(1_000 * MS);
+        host.sends.stream().filter(s -> s.request() >= 100).toList()
+                .forEach(s -> host.outcome(s, Outcome.CANCELLED));
+        int jam = host.sends.size();
+        for (int i = 200; i < 300; i++) {
+            if (i == 280) {
+                jam = host.sends.size();
+            }
+            host.request(i, 0);
+            host.advance(20 * MS);
+            if (host.last().request() == i) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+            host.advance(30 * MS);
+        }
+        assertTrue(host.sends.size() - jam >= 19, "8 aims after the jam " + (host.sends.size() - jam)
+                + " of 20 are sent");
+    }
+
     @Test
     void silenceBringsNoSecondCopy() {
         Recorder host = host(REPEATABLE).withUpstreams(4);
