Take a warm upstream's rate over the time run so far, not over a whole ramp

The sum fades over the ramp, so a sidecar that has run for t has seen 1 - exp(-t/ramp) of it; that is now the divisor. Nothing under the time in which a cold upstream can tip is taken for a rate.

RulesTest.aSidecarJustStartedGivesColdUpstreamsTheirShareToo fails without the change: 6 requests of a share of 10 to 25.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -45,6 +45,7 @@
 
     @Override
     public void start(long now) {
+        roster.began = now;
         roster.follow(now);
         alarms.flush();
     }
@@ -404,6 +405,7 @@
         private final FadingSum served = new FadingSum(settings.limits().rampTime(), 0);
         private long retryWait;
         private long asked;
+        private long began;
 
         void follow(long now) {
             if (settings.discovery() == Discovery.SUBSCRIBE) {
@@ -500,10 +502,16 @@
             return server.coldTokens >= 0 && server.inFlight <= 1 + server.limit / 2;
         }
 
-        /** Work a nanosecond that a warm server serves for this sidecar, on average. */
+        /**
+         * Work a nanosecond that a warm server serves for this sidecar, on average. Danger: the sum over a
+         * ramp time is not full before a sidecar has run that long; one just started would take its part for
+         * next to nothing, and a fleet restarted together would leave what is cold idle.
+         */
         private double comparable(long now) {
             long warm = ready.stream().filter(server -> now >= server.coldUntil).count();
-            return warm == 0 ? 0 : served.value(now) / warm / settings.limits().rampTime();
+            double window = settings.limits().rampTime();
+            double run = Math.max(settings.limits().tipAfter(), now - began);
+            return warm == 0 ? 0 : served.value(now) / warm / (window * (1 - Math.exp(-run / window)));
         }
 
         double work(Call call) {
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -281,6 +281,18 @@
         assertTrue(cold > 5 && cold < 40, "cold upstream got " + cold);
     }
 
+    @Test
+    void aSidecarJustStartedGivesColdUpstreamsTheirShareToo() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 200, 0, 10 * MS);
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(9, State.READY, host.now)));
+        int before = host.sends.size();
+        host.serve(1_000, 1_200, 0, 10 * MS);
+        // 2 s at 100 a second over 4 warm servers: 50 each; the cold share of 0.3 grows to 0.5 meanwhile.
+        long cold = host.sentTo(9, before);
+        assertTrue(cold > 10 && cold < 25, "cold upstream got " + cold);
+    }
+
     @Test
     void firstRequestsOfManySidecarsDoNotPushAColdUpstreamOver() {
         int cold = 0;
