Keep the last good entry of what a whole list names but garbles

An entry of a whole list that can't be understood was left out, and what a whole list leaves out counts as gone: its upstream was drained in every sidecar at once. Discovery now keeps the last entry understood of each name and puts it in the garbled one's place; what is not named is gone as before. An entry with no readable name still can't be told from one left out.

DiscoveryTest.garbledEntryOfAWholeListKeepsItsLastGoodOne fails without the change.

--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/sidecar/Discovery.java
@@ -1,5 +1,6 @@
 package pondridge.sidecar;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -26,7 +27,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import pondridge.Balancer.ListKind;
@@ -69,39 +75,58 @@
         }
     }
 
-    /** A list or a change of it. */
-    record Listing(long rev, boolean all, List<Target> targets) {
-        static final Listing NONE = new Listing(0, true, List.of());
+    /** A list or a change of it; {@code unread} are the names of entries that can't be understood. */
+    record Listing(long rev, boolean all, List<Target> targets, Set<String> unread) {
+        static final Listing NONE = new Listing(0, true, List.of(), Set.of());
 
         static Listing of(JsonNode node) {
             List<Target> targets = new ArrayList<>();
+            Set<String> unread = new HashSet<>();
             for (JsonNode each : node.path("targets")) {
                 Target target = Target.of(each);
                 if (target != null) {
                     targets.add(target);
+                } else {
+                    unread.add(each.path("uid").asText(""));
                 }
             }
-            return new Listing(node.path("rev").asLong(), node.path("all").asBoolean(), targets);
+            return new Listing(node.path("rev").asLong(), node.path("all").asBoolean(), targets, unread);
         }
     }
 
     private final EventLoop loop;
     private InetSocketAddress address;
     private final BiConsumer<ListKind, List<Target>> listener;
+    private final Map<String, Target> lastGood = new HashMap<>();
     private long rev;
     private Call watch;
     private boolean following;
     private long waitMs = FIRST_WAIT_MS;
 
     /** Tells {@code listener}, on the loop, of each answer and each failure of what the module asked for. */
-    Discovery(EventLoop loop, InetSocketAddress address, long rev,
+    Discovery(EventLoop loop, InetSocketAddress address, Listing known,
             BiConsumer<ListKind, List<Target>> listener) {
         this.loop = loop;
         this.address = address;
-        this.rev = rev;
+        this.rev = known.rev();
+        remember(known);
         this.listener = listener;
     }
 
+    /**
+     * What a list says. A whole list still names those of its entries that can't be understood: what was last
+     * understood of them holds, while those it does not name are gone.
+     */
+    private List<Target> remember(Listing listing) {
+        List<Target> targets = new ArrayList<>(listing.targets());
+        if (listing.all()) {
+            listing.unread().stream().map(lastGood::get).filter(Objects::nonNull).forEach(targets::add);
+            lastGood.clear();
+        }
+        targets.forEach(target -> lastGood.put(target.uid(), target));
+        return targets;
+    }
+
     /** Keeps a watch open from now on: the module is told of changes that it need not ask for. */
     void follow() {
         following = true;
@@ -279,7 +304,7 @@
             Listing listing = Listing.of(node);
             rev = listing.rev();
             answered();
-            listener.accept(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
+            listener.accept(listing.all() ? ListKind.FULL : ListKind.DELTA, remember(listing));
         }
 
         @Override
@@ -289,7 +314,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            System.err.println("discovery: " + cause);
+            String why = cause instanceof JsonProcessingException odd ? odd.getOriginalMessage()
+                    : cause.toString();
+            System.err.println("discovery: answer not read, rev " + rev + " holds: " + why);
             fail();
         }
     }
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -92,7 +92,7 @@
         this.mostOpen = mostOpen;
         this.automatic = settings.discovery() == Balancer.Discovery.AUTOMATIC;
         this.upstreams = new Upstreams(loop, config.options(), config.sockets() / 2);
-        this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
+        this.discovery = new Discovery(loop, config.discovery(), config.known(), this::listed);
         config.options().list("zones").forEach(zone -> number(zones, zone));
         config.options().list("kinds").forEach(kind -> number(kinds, kind));
     }
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -42,7 +43,9 @@
     }
 
     private Discovery discovery(Stub stub) {
-        return new Discovery(loop, stub.address(), 41, (kind, targets) -> told.add(new Told(kind, targets)));
+        Discovery.Listing known = new Discovery.Listing(41, true, List.of(), Set.of());
+        return new Discovery(loop, stub.address(), known,
+                (kind, targets) -> told.add(new Told(kind, targets)));
     }
 
     /** Lines come split over chunks and chunks hold several; an odd entry spoils none but itself. */
@@ -89,6 +92,29 @@
         }
     }
 
+    /** Of what a whole list names but garbles, the last good entry holds; what it does not name is gone. */
+    @Test
+    void garbledEntryOfAWholeListKeepsItsLastGoodOne() throws Exception {
+        String good = "{\"rev\":42,\"all\":true,\"targets\":[" + entry("SERVING") + ","
+                + Bed.target("s-2", "127.0.0.1:8", "SERVING") + "]}\n";
+        String garbled = "{\"rev\":43,\"all\":true,\"targets\":["
+                + "{\"uid\":\"s-1\",\"state\":\"SERV\",\"endpoint\":7},{\"uid\":\"s-3\"},5]}\n";
+        try (Stub stub = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk(good) + chunk(garbled) + chunk(garbled));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(2, Stub.next(told).targets.size());
+            for (int i = 0; i < 2; i++) {
+                Told list = Stub.next(told);
+                assertEquals(ListKind.FULL, list.kind);
+                assertEquals(List.of("s-1"), list.targets.stream().map(Discovery.Target::uid).toList());
+                assertEquals(State.READY, list.targets.get(0).state());
+            }
+        }
+    }
+
     @Test
     void wholeListIsFetchedOnce() throws Exception {
         String body = "{\"rev\":41,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
