Take no upstream away for a list entry whose name can't be read

In a whole list such an entry may be any of those that seem to be left out; all of them counted as gone. Now what was last good of them holds until a list can be read whole. What is gone is no longer remembered either. DiscoveryTest.entryWithoutANameTakesNoOtherUpstreamAway.

--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/sidecar/Discovery.java
@@ -31,7 +31,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -75,7 +74,10 @@
         }
     }
 
-    /** A list or a change of it; {@code unread} are the names of entries that can't be understood. */
+    /**
+     * A list or a change of it; {@code unread} are the names of entries that can't be understood, an empty
+     * one if not even that can be read.
+     */
     record Listing(long rev, boolean all, List<Target> targets, Set<String> unread) {
         static final Listing NONE = new Listing(0, true, List.of(), Set.of());
 
@@ -115,15 +117,27 @@
 
     /**
      * What a list says. A whole list still names those of its entries that can't be understood: what was last
-     * understood of them holds, while those it does not name are gone.
+     * understood of them holds, while those it does not name are gone. An entry without a name that can be
+     * read may be any of those: all are kept then.
      */
     private List<Target> remember(Listing listing) {
         List<Target> targets = new ArrayList<>(listing.targets());
         if (listing.all()) {
-            listing.unread().stream().map(lastGood::get).filter(Objects::nonNull).forEach(targets::add);
+            Map<String, Target> before = new HashMap<>(lastGood);
+            targets.forEach(target -> before.remove(target.uid()));
+            if (!listing.unread().contains("")) {
+                before.keySet().retainAll(listing.unread());
+            }
+            targets.addAll(before.values());
             lastGood.clear();
         }
-        targets.forEach(target -> lastGood.put(target.uid(), target));
+        for (Target target : targets) {
+            if (target.state() == State.GONE) {
+                lastGood.remove(target.uid());
+            } else {
+                lastGood.put(target.uid(), target);
+            }
+        }
         return targets;
     }
 
