Answer first requests that lie unread when a connection is given up

Three ways to close upon a whole request unread, found by reading: SIGTERM closed every connection that was not busy, also those just accepted, whose first request nobody sends again; the listening ended 0.5 s later with whatever waited to be accepted; and the patience with a new connection could end in the same pass of a busy loop in which its request came. Now new connections outlive the begin of the drain, the listening lasts as long as the process, and the sockets are looked at once more before patience ends. At the limit of connections, the one that has waited longest without a request, and for 2 s at least (TERMS), gives way instead of a bare close of the new one.

--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -42,9 +42,13 @@
 final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
     /** Whoever has sent no whole request by then is told by a close; a client sends at once. */
-    private static final long FIRST_REQUEST_MS = 2_200;
+    static final long FIRST_REQUEST_MS = 2_200;
     /** From an answer to the end of the next request; longer than most clients pause. */
     private static final long NEXT_REQUEST_MS = 5_000;
+    /** Whoever has waited so long without a request may be closed upon (TERMS), for others to get in. */
+    private static final long MAY_GO_NS = 2_000_000_000;
+    /** Time for one more look at the sockets. */
+    private static final long LAST_LOOK_MS = 1;
 
     private final Engine engine;
     private final List<RequestClass> classes;
@@ -54,7 +58,6 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private boolean ready;
     private boolean draining;
-    private Channel server;
 
     Frontend(Engine engine, Options options, int mostConnections) {
         this.engine = engine;
@@ -66,13 +69,16 @@
 
     /** Listens; requests are answered at once, {@code /up} says 200 after {@link #ready}. */
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
+                        if (connections.size() >= mostConnections) {
+                            dismissOne();
+                        }
                         if (connections.size() >= mostConnections + mostConnections / 8) {
                             made.close();
                             return;
@@ -82,8 +88,6 @@
                     }
                 })
                 .bind(address);
-        server = bound.channel();
-        return bound;
     }
 
     void ready() {
@@ -92,27 +96,37 @@
 
     /**
      * From now on each answer ends its connection, and so do those that wait for none: a request that crosses
-     * such an end is sent again on a new connection, and new ones still get in.
+     * such an end is sent again on a new connection, and new ones still get in, to the end of the process.
      */
     void drain() {
         draining = true;
-        closeIdle();
+        closeWaiting(true);
     }
 
-    /** Ends the listening as well. */
+    /** No more connections are to come: who has sent nothing by now will not. */
     void close() {
-        server.close();
-        drain();
+        closeWaiting(false);
     }
 
-    private void closeIdle() {
+    /** The first request of one that is new may lie unread, and nobody would send that again. */
+    private void closeWaiting(boolean sparesNew) {
         for (Connection connection : List.copyOf(connections)) {
-            if (!connection.busy) {
+            if (!connection.busy && (connection.answered || !sparesNew)) {
                 connection.channel.close();
             }
         }
     }
 
+    /** Closes upon whoever has waited for longest without a request, if long enough. */
+    private void dismissOne() {
+        long now = System.nanoTime();
+        connections.stream().filter(one -> !one.busy && now - one.waitingSince >= MAY_GO_NS)
+                .min((a, b) -> Long.compare(a.waitingSince - b.waitingSince, 0)).ifPresent(one -> {
+                    connections.remove(one);
+                    one.channel.close();
+                });
+    }
+
     /** Whether no client is connected any more. */
     boolean empty() {
         return connections.isEmpty();
@@ -124,6 +138,8 @@
         private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>(1);
         private final boolean crowded = connections.size() >= mostConnections;
         private boolean busy;
+        private boolean answered;
+        private long waitingSince;
         private boolean keepAlive;
         private long request;
         private Future<?> patience;
@@ -134,10 +150,16 @@
             await(FIRST_REQUEST_MS);
         }
 
-        /** Connections are few: one that waits for a peer, to send or to read, does so for a limited time. */
+        /**
+         * Connections are few: one that waits for a peer, to send or to read, does so for a limited time.
+         * After a stall of the loop a whole request may lie unread by then: the sockets get one more look.
+         */
         private void await(long limitMs) {
+            waitingSince = System.nanoTime();
             patience = channel.eventLoop().schedule(() -> {
-                channel.close();
+                patience = channel.eventLoop().schedule(() -> {
+                    channel.close();
+                }, LAST_LOOK_MS, TimeUnit.MILLISECONDS);
             }, limitMs, TimeUnit.MILLISECONDS);
         }
 
@@ -227,6 +249,7 @@
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
+            answered = true;
             patience.cancel(false);
             await(NEXT_REQUEST_MS);
             ChannelFuture written = channel.writeAndFlush(response);
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -96,6 +96,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch done = new CountDownLatch(1);
             loop.execute(frontend::drain);
+            // The listening goes on to the end: what waited to be accepted when it stopped would be reset.
             loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
                 if (frontend.empty() && engine.idle()) {
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -2,15 +2,23 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
@@ -34,6 +42,28 @@
         address = (InetSocketAddress) frontend.listen(group, config.listen()).sync().channel().localAddress();
     }
 
+    /** Keeps the loop busy in the midst of reading sockets, from when this returns until {@code go}. */
+    void stall(CountDownLatch go) throws Exception {
+        CountDownLatch stalled = new CountDownLatch(1);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelRead(ChannelHandlerContext context, Object message)
+                                throws Exception {
+                            ReferenceCountUtil.release(message);
+                            stalled.countDown();
+                            go.await();
+                            context.close();
+                        }
+                    }).connect(server.getLocalSocketAddress()).sync();
+            try (Socket socket = server.accept()) {
+                Stub.write(socket, "x");
+                stalled.await();
+            }
+        }
+    }
+
     static Bed with(Stub... upstreams) throws Exception {
         return new Bed(json(upstreams));
     }
