End a start or warm-up that fails with one line and status 1

An exception on the loop at the start, or in the warm-up's chain of requests, left a process that was neither ready nor gone (README, "Open"). Now it is named in one line and ends the process; the warm-up's limit is a timer, so that a chain that breaks still ends in a sidecar that is ready.

--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -34,7 +34,7 @@
                 throw new IllegalArgumentException("not set: PROXY_CONFIG");
             }
             config = Config.read(Path.of(file));
-        } catch (IllegalArgumentException | IOException e) {
+        } catch (RuntimeException | IOException e) {
             System.err.println("pondridge: configuration: " + e.getMessage());
             System.exit(2);
             return;
@@ -42,7 +42,19 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
-        loop.execute(() -> start(group, loop, config, Path.of(file), rehearsal));
+        loop.execute(() -> {
+            try {
+                start(group, loop, config, Path.of(file), rehearsal);
+            } catch (RuntimeException | Error e) {
+                fail("start: " + e);
+            }
+        });
+    }
+
+    /** The end of a start that can't succeed: one line, and no process that is neither ready nor gone. */
+    private static void fail(String why) {
+        System.err.println("pondridge: " + why);
+        Runtime.getRuntime().halt(1);
     }
 
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config, Path file,
@@ -56,10 +68,9 @@
             if (done.isSuccess()) {
                 endAtSigterm(loop, config, engine, frontend);
                 WarmUp.run(loop, config.options(), (InetSocketAddress) bound.channel().localAddress(),
-                        rehearsal ? Main::end : () -> ready(config, frontend));
+                        rehearsal ? Main::end : () -> ready(config, frontend), e -> fail("warm-up: " + e));
             } else {
-                System.err.println("pondridge: listen: " + done.cause().getMessage());
-                Runtime.getRuntime().halt(1);
+                fail("listen: " + done.cause().getMessage());
             }
         });
     }
@@ -73,7 +84,7 @@
             InetSocketAddress discovery = Config.read(file).discovery();
             System.err.println("pondridge: configuration read again, discovery at " + discovery);
             loop.execute(() -> engine.discoveryMoved(discovery));
-        } catch (IllegalArgumentException | IOException e) {
+        } catch (RuntimeException | IOException e) {
             System.err.println("pondridge: configuration not taken over, the last one holds: "
                     + e.getMessage());
         }
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import pondridge.Balancer;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
@@ -31,31 +33,58 @@
 
     private final Upstreams self;
     private final Runnable done;
-    private final long began = System.nanoTime();
+    private final Consumer<Throwable> failed;
+    private boolean over;
 
-    private WarmUp(Upstreams self, Runnable done) {
+    private WarmUp(Upstreams self, Runnable done, Consumer<Throwable> failed) {
         this.self = self;
         this.done = done;
+        this.failed = failed;
     }
 
-    /** Runs on the loop; {@code done} follows also if the frontend can't be reached. */
-    static void run(EventLoop loop, Options options, InetSocketAddress frontend, Runnable done) {
-        decide(options.settings());
+    /**
+     * Runs on the loop. {@code done} follows within {@link #LONGEST}, also if the frontend can't be reached;
+     * {@code failed} instead of it if something here can't be done at all.
+     */
+    static void run(EventLoop loop, Options options, InetSocketAddress frontend, Runnable done,
+            Consumer<Throwable> failed) {
         Upstreams self = new Upstreams(loop, options, 1);
-        self.listed(0, frontend, 0, true);
-        new WarmUp(self, done).ask(ROUNDS);
+        WarmUp warmUp = new WarmUp(self, done, failed);
+        loop.schedule(warmUp::end, LONGEST, TimeUnit.NANOSECONDS);
+        warmUp.attempt(() -> {
+            decide(options.settings());
+            self.listed(0, frontend, 0, true);
+            warmUp.ask(ROUNDS);
+        });
+    }
+
+    private void attempt(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            over = true;
+            failed.accept(e);
+        }
     }
 
     /** The frontend knows no such request and answers 400: the way there and back is the same. */
     private void ask(int left) {
-        if (left == 0 || System.nanoTime() - began > LONGEST) {
+        if (left == 0) {
+            end();
+        } else if (!over) {
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/");
+            self.send(0, request, PATIENCE, (outcome, answer, load) ->
+                    attempt(() -> ask(outcome == Outcome.ERROR ? left - 1 : 0)));
+        }
+    }
+
+    private void end() {
+        if (!over) {
+            over = true;
             self.close();
-            done.run();
-            return;
+            attempt(done);
         }
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/");
-        self.send(0, request, PATIENCE, (outcome, answer, load) ->
-                ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
 
     private static void decide(Settings settings) {
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/WarmUpTest.java
@@ -0,0 +1,54 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pondridge.Options;
+
+/** A warm-up has one end, whatever happens in it. */
+class WarmUpTest {
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void run(Options options, InetSocketAddress frontend, Runnable done) {
+        loop.execute(() -> WarmUp.run(loop, options, frontend, done, e -> ends.add("failed: " + e)));
+    }
+
+    @Test
+    void doneFollowsAlsoIfTheFrontendIsNotThere() throws Exception {
+        try (Stub gone = new Stub((socket, head) -> false)) {
+            run(Config.of(Bed.json()).options(), gone.address(), () -> ends.add("done"));
+            assertEquals("done", Stub.next(ends));
+        }
+    }
+
+    @Test
+    void whatCannotBeDoneIsToldInsteadOfDone() throws Exception {
+        try (Stub frontend = new Stub((socket, head) -> Stub.reply(socket, "400 Bad Request", "", ""))) {
+            run(new Options(""), frontend.address(), () -> ends.add("done"));
+            String end = Stub.next(ends);
+            assertTrue(end.startsWith("failed: ") && end.contains("profiles.count"), end);
+            run(Config.of(Bed.json()).options(), frontend.address(), () -> {
+                throw new IllegalStateException("not ready");
+            });
+            end = Stub.next(ends);
+            assertTrue(end.startsWith("failed: ") && end.contains("not ready"), end);
+        }
+    }
+}
