Let idle upstream connections give way where more upstreams than connections

Found by reading, with the operators' trial in mind (some hundreds of upstreams, from 256 descriptors on): each turn of the pattern leaves an idle connection at every upstream for up to nine tenths of connIdle. Once they held half of the descriptors, Upstreams.send answered NEVER_SENT for every upstream that had none, though most connections stood idle.

Now the connection that has been idle for longest gives way.

--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -57,6 +57,8 @@
     private final int mostConnections;
     private final List<String> reportFields;
     private final Map<Long, Pool> pools = new HashMap<>();
+    /** Of all upstreams, the one idle for longest first. */
+    private final Set<Connection> idle = new LinkedHashSet<>();
     private final Future<?> retirement;
     private int connections;
 
@@ -110,12 +112,13 @@
         Attempt attempt = new Attempt(pool, request, listener);
         attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
         pool.unwritten.add(attempt);
-        Connection idle = pool.idle.pollLast();
+        Connection last = pool.idle.pollLast();
         if (!pool.ready || pool.address == null) {
             attempt.end(Outcome.CONNECT_FAILED);
-        } else if (idle != null) {
-            idle.write(attempt);
-        } else if (connections >= mostConnections) {
+        } else if (last != null) {
+            idle.remove(last);
+            last.write(attempt);
+        } else if (connections >= mostConnections && !makeRoom()) {
             attempt.end(Outcome.NEVER_SENT);
         } else {
             new Connection(pool).open(attempt);
@@ -123,6 +126,15 @@
         return attempt;
     }
 
+    /** With more upstreams than connections may be open, the one idle for longest gives way, if any is. */
+    private boolean makeRoom() {
+        if (idle.isEmpty()) {
+            return false;
+        }
+        idle.iterator().next().close();
+        return true;
+    }
+
     /** Probes an upstream: for its load report where the deployment has reports, else for its health. */
     void probe(long upstream, Listener listener) {
         String path = reportFields.isEmpty() ? "/alive" : LOAD_PATH;
@@ -147,10 +159,8 @@
 
     private void retire() {
         long now = System.nanoTime();
-        for (Pool pool : pools.values()) {
-            while (!pool.idle.isEmpty() && now - pool.idle.peekFirst().idleSince > keepIdle) {
-                pool.idle.pollFirst().close();
-            }
+        while (!idle.isEmpty() && now - idle.iterator().next().idleSince > keepIdle) {
+            idle.iterator().next().close();
         }
     }
 
@@ -164,7 +174,7 @@
 
         void closeIdle() {
             while (!idle.isEmpty()) {
-                idle.pollFirst().close();
+                idle.peekFirst().close();
             }
         }
     }
@@ -270,7 +280,9 @@
 
         void close() {
             closed = true;
-            pool.idle.remove(this);
+            if (idle.remove(this)) {
+                pool.idle.remove(this);
+            }
             if (channel != null) {
                 channel.close();
             }
@@ -307,6 +319,7 @@
                 if (!closed && pool.ready) {
                     idleSince = System.nanoTime();
                     pool.idle.addLast(this);
+                    idle.add(this);
                 } else {
                     close();
                 }
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamsTest.java
@@ -78,6 +78,26 @@
         }
     }
 
+    /** With more upstreams than connections, every one of them can still be reached. */
+    @Test
+    void idleConnectionsGiveWayToNeededOnes() throws Exception {
+        try (Stub first = Stub.serving("1"); Stub second = Stub.serving("2");
+                Stub third = Stub.serving("3")) {
+            Upstreams upstreams = upstreams(first.address(), LONG, 2);
+            loop.execute(() -> {
+                upstreams.listed(2, second.address(), 0, true);
+                upstreams.listed(3, third.address(), 0, true);
+            });
+            for (long id : new long[] {1, 2, 3, 2, 1}) {
+                loop.execute(() -> upstreams.send(id, get("/api/x"), LONG, this::ended));
+                assertEquals(Outcome.OK, Stub.next(outcomes), "upstream " + id);
+            }
+            Stub.next(first.ended);
+            Stub.next(third.ended);
+            assertEquals(0, second.ended.size(), "only those idle for longest have given way");
+        }
+    }
+
     /** Once a drain is told, a request that waits for its connection must not go there any more. */
     @Test
     void drainEndsTheWaitForAConnection() throws Exception {
