Keep time for the loop's stalls, so that a failed request is answered before its time

At fault: Engine.submit, which counted the client's wait from its own reading and kept 10 ms whatever the loop did. Now the longest recent stretch of work without a look at the sockets is kept back twice, for the way in and the way out, and the module answers before it. What it costs is answers in the last tens of ms before the deadline.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -197,11 +197,16 @@
      * A client's request.
      *
      * @param timeLeft until the client gives this try up
+     * @param reserve the last part of {@code timeLeft}, which the host needs: the answer is due before it
      * @param costHint rough work to expect in nanoseconds; 0 where unknown
      * @param clientRetry the client marked it as a repeat
      */
-    record Request(long id, int requestClass, int tenant, long key, long timeLeft, long costHint,
-            boolean clientRetry, boolean write) { }
+    record Request(long id, int requestClass, int tenant, long key, long timeLeft, long reserve,
+            long costHint, boolean clientRetry, boolean write) {
+        public Request {
+            require(reserve >= 0, "request reserve");
+        }
+    }
 
     /** What an instance orders. The host carries each out at the time of the event being handled. */
     interface Actions {
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -248,10 +248,10 @@
         Call(Request request, RequestClass kind, long now, long elapsed) {
             this.request = request;
             this.kind = kind;
-            this.deadline = now + request.timeLeft();
+            this.deadline = now + request.timeLeft() - request.reserve();
             double stretched = kind.aim() + kind.aimStretch() * request.costHint();
             this.aim = (long) Math.min(stretched, kind.deadline());
-            this.aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, aim);
+            this.aimAt = now - elapsed - request.reserve() / 2 + Math.min(request.timeLeft() + elapsed, aim);
         }
 
         /** Whether the last attempt is out; there is never more than one. */
--- a/src/main/java/pondridge/adapter/Host.java
+++ b/src/main/java/pondridge/adapter/Host.java
@@ -106,7 +106,7 @@
         long left = in.time("left");
         long hint = in.time("costGuess");
         int bits = in.u8();
-        instance.request(now, new Request(id, requestClass, tenant, key, left, (bits & 1) != 0 ? hint : 0,
+        instance.request(now, new Request(id, requestClass, tenant, key, left, 0, (bits & 1) != 0 ? hint : 0,
                 (bits & 2) != 0, (bits & 4) != 0));
     }
 
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -30,8 +30,11 @@
  * it orders. Whatever module and upstreams do, a request gets one final answer and a send one outcome.
  */
 final class Engine implements Balancer.Actions {
-    /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
+    /** What of a client's wait is kept for the answer's way back, beside what the loop's stalls may take. */
     private static final long ANSWER_ROOM = 10_000_000;
+    /** No more than this part of a client's wait is kept back for stalls. */
+    private static final int MOST_KEPT = 8;
+    private static final long STATE_S = 5;
 
     /** A request as the frontend took it. */
     record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
@@ -68,6 +71,7 @@
 
     private final EventLoop loop;
     private final Balancer rules;
+    private final Stalls stalls = new Stalls();
     private final int tryLimit;
     private final int mostOpen;
     private final boolean automatic;
@@ -178,12 +182,16 @@
         Call call = new Call(job, client);
         call.takenAt = now();
         calls.put(id, call);
+        // The client's time has run since it sent: a stall may have kept the request unread, and another
+        // may hold up the answer.
+        long reserve = Math.min(2 * stalls.recent(call.takenAt), left / MOST_KEPT);
+        loop.execute(() -> stalls.lasted(now(), now() - call.takenAt));
         // The module answers by its own deadline; this holds for whatever it may have missed.
         loop.schedule(() -> endBadly(id, call, "failed", "OVERDUE", client::failed),
-                left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
+                left - reserve + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
         tell(now -> {
-            call.deadline = now + left;
-            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
+            call.deadline = now + left - reserve;
+            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left, reserve,
                     job.costHint(), job.clientRetry(), !job.method().equals(HttpMethod.GET)));
         });
         return id;
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -96,7 +96,7 @@
         for (int i = 0; i < ROUNDS; i++) {
             now += STEP;
             rules.request(now,
-                    new Request(i, i % settings.classes().size(), 0, 0, PATIENCE, 0, false, false));
+                    new Request(i, i % settings.classes().size(), 0, 0, PATIENCE, 0, 0, false, false));
             rules.outcome(now + STEP / 2, i, 0, 1, Outcome.OK, STEP / 2, true, new float[0]);
             rules.timer(now + STEP / 2, i);
         }
