Keep nothing of upstreams that have left the list, and count the cold ones only once

An upstream's id is a hash of its name, the same at every sidecar.

The share of a cold upstream counted all warm ones anew for each cold one that a request came by: with 1,024 upstreams half of which are cold, half a million steps a request. The cold ones are now looked for when the list or the time changes them. Tests with 1,024 upstreams, zones, kinds, tenants and peers: SidecarTest, RulesTest.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -349,6 +349,7 @@
             attempt.mayHaveRun = !outcome.provesNeverRan();
             Server server = attempt.server;
             server.inFlight--;
+            roster.forget(server);
             health.ended(now, attempt, outcome, call);
             if (outcome != Outcome.CONNECT_FAILED) {
                 admission.ended(now, attempt, outcome, call);
@@ -401,6 +402,8 @@
     private final class Roster {
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> ready = List.of();
+        private List<Server> cold = List.of();
+        private long nextWarm = Long.MAX_VALUE;
         private boolean listed;
         private final FadingSum served = new FadingSum(settings.limits().rampTime(), 0);
         private long retryWait;
@@ -443,17 +446,40 @@
                 changed |= update(now, entry);
             }
             for (long id : missing) {
-                Server server = servers.get(id);
-                changed |= server.entry.state() == State.READY;
-                server.entry = server.entry.gone();
+                changed |= update(now, servers.get(id).entry.gone());
             }
             listed = true;
             if (changed) {
                 ready = servers.values().stream().filter(s -> s.entry.state() == State.READY).toList();
+                findCold(now);
                 pattern.redraw(ready);
             }
         }
 
+        /** What has left the list is kept no longer than its attempts are out. */
+        void forget(Server server) {
+            if (server.entry.state() == State.GONE && server.inFlight == 0) {
+                servers.remove(server.entry.id(), server);
+            }
+        }
+
+        private void findCold(long now) {
+            cold = ready.stream().filter(server -> now < server.coldUntil).toList();
+            nextWarm = cold.stream().mapToLong(server -> server.coldUntil).min().orElse(Long.MAX_VALUE);
+        }
+
+        /** The ready servers that are cold; looked for anew only when they may have changed. */
+        private List<Server> cold(long now) {
+            if (now >= nextWarm) {
+                findCold(now);
+            }
+            return cold;
+        }
+
+        private int warm(long now) {
+            return ready.size() - cold(now).size();
+        }
+
         /** Takes one line over; true if the set of ready servers changed. */
         private boolean update(long now, Upstream entry) {
             Server server = servers.get(entry.id());
@@ -470,7 +496,8 @@
                 }
             }
             server.entry = entry;
-            return fresh || wasReady != (entry.state() == State.READY);
+            forget(server);
+            return wasReady != (entry.state() == State.READY) || fresh && entry.state() == State.READY;
         }
 
         /**
@@ -482,13 +509,14 @@
             if (now >= server.coldUntil) {
                 return true;
             }
-            double warm = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
+            double warmth = Math.max(0, Math.min(1,
+                    1 - (server.coldUntil - now) / (double) settings.limits().rampTime()));
             double cold = settings.limits().coldShare();
-            double rate = comparable(now) * (cold + (1 - cold) * Math.max(0, Math.min(1, warm)));
+            double rate = comparable(now) * (cold + (1 - cold) * warmth);
             if (rate == 0) {
                 // Nothing to compare with yet. Danger: one at a time is one from every sidecar at once, so a
                 // lone sidecar's habit pushes a cold server over; the warm ones take the request instead.
-                return server.inFlight == 0 && ready.stream().allMatch(other -> now < other.coldUntil);
+                return server.inFlight == 0 && warm(now) == 0;
             }
             if (!server.coldMet) {
                 // Danger: a first request free of charge comes from hundreds of sidecars together. Each
@@ -508,10 +536,11 @@
          * next to nothing, and a fleet restarted together would leave what is cold idle.
          */
         private double comparable(long now) {
-            long warm = ready.stream().filter(server -> now >= server.coldUntil).count();
+            int warmOnes = warm(now);
             double window = settings.limits().rampTime();
             double run = Math.max(settings.limits().tipAfter(), now - began);
-            return warm == 0 ? 0 : served.value(now) / warm / (window * (1 - Math.exp(-run / window)));
+            return warmOnes == 0 ? 0
+                    : served.value(now) / warmOnes / (window * (1 - Math.exp(-run / window)));
         }
 
         double work(Call call) {
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -9,11 +9,14 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import pondridge.Balancer;
@@ -79,7 +82,7 @@
     private final Discovery discovery;
     private final BadEnds badEnds = new BadEnds(System.err);
     private final Map<Long, Call> calls = new HashMap<>();
-    private final Map<String, Long> upstreamIds = new HashMap<>();
+    /** Of what the list names, by the id that the module knows it by. */
     private final Map<Long, String> upstreamNames = new HashMap<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> kinds = new HashMap<>();
@@ -144,29 +147,36 @@
         return numbers.computeIfAbsent(name, added -> numbers.size());
     }
 
-    private void listed(ListKind kind, List<Discovery.Target> targets) {
-        List<Upstream> entries = new ArrayList<>(targets.size());
-        Map<Long, Discovery.Target> named = new HashMap<>();
-        for (Discovery.Target target : targets) {
-            long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
-            named.put(id, target);
-            upstreamNames.put(id, target.uid());
-            entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
-                    target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
+    /** The same at every sidecar, so that they can speak of upstreams to each other: FNV-1a of the name. */
+    private static long id(String uid) {
+        long hash = 0xcbf29ce484222325L;
+        for (byte each : uid.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ each & 0xff) * 0x100000001b3L;
         }
+        return hash;
+    }
+
+    private void listed(ListKind kind, List<Discovery.Target> targets) {
         tell(now -> {
-            named.forEach((id, target) -> {
+            List<Upstream> entries = new ArrayList<>(targets.size());
+            Set<Long> missing = new LinkedHashSet<>(
+                    kind == ListKind.FULL ? upstreamNames.keySet() : Set.<Long>of());
+            for (Discovery.Target target : targets) {
+                long id = id(target.uid());
+                missing.remove(id);
+                upstreamNames.put(id, target.uid());
+                entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
+                        target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
                 if (target.state() == State.GONE) {
-                    upstreams.gone(id);
+                    missing.add(id);
                 } else {
                     upstreams.listed(id, target.endpoint(), target.startedMs(),
                             target.state() == State.READY);
                 }
-            });
-            if (kind == ListKind.FULL) {
-                upstreamIds.values().stream().filter(id -> !named.containsKey(id)).forEach(upstreams::gone);
             }
+            missing.forEach(upstreams::gone);
             rules.listChanged(now, kind, entries);
+            upstreamNames.keySet().removeAll(missing);
         });
     }
 
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -80,22 +80,21 @@
      * to them would count as perhaps run.
      */
     void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
+        if (!ready) {
+            gone(upstream);
+            return;
+        }
         Pool pool = pools.computeIfAbsent(upstream, id -> new Pool());
         if (!address.equals(pool.address) || startedMs > pool.startedMs) {
             pool.address = address;
             pool.startedMs = startedMs;
             pool.closeIdle();
         }
-        if (ready) {
-            pool.ready = true;
-        } else {
-            gone(upstream);
-        }
     }
 
-    /** Takes over that an upstream drains, or is in the list no more. */
+    /** Takes over that an upstream drains or has left the list: only attempts still out know its pool. */
     void gone(long upstream) {
-        Pool pool = pools.get(upstream);
+        Pool pool = pools.remove(upstream);
         if (pool == null) {
             return;
         }
@@ -108,7 +107,7 @@
 
     /** Sends a request as one attempt; {@code wait} in nanoseconds bounds it. */
     Attempt send(long upstream, FullHttpRequest request, long wait, Listener listener) {
-        Pool pool = pools.computeIfAbsent(upstream, id -> new Pool());
+        Pool pool = pools.getOrDefault(upstream, new Pool());
         Attempt attempt = new Attempt(pool, request, listener);
         attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
         pool.unwritten.add(attempt);
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -435,6 +435,12 @@
                 + " of 20 are sent");
     }
 
+    @Test
+    void turnsReachEachOfAThousandAndMoreUpstreams() {
+        Recorder host = host(REPEATABLE).withUpstreams(1_024);
+        assertEquals(1_024, new HashSet<>(turn(host, 1_024, 0)).size());
+    }
+
     @Test
     void silenceBringsNoSecondCopy() {
         Recorder host = host(REPEATABLE).withUpstreams(4);
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -285,6 +286,35 @@
         }
     }
 
+    /** No list that is read has a cap below 1,024 entries; the last of each is as good as the first. */
+    @Test
+    void listsOfAThousandAndMoreAreRead() throws Exception {
+        int many = 1_024;
+        try (Stub upstream = Stub.serving("x")) {
+            ObjectNode json = Bed.json();
+            ArrayNode targets = json.withObject("/known").withArray("/targets");
+            ArrayNode zones = json.withObject("/settings").putArray("zones");
+            ArrayNode kinds = json.withObject("/settings").putArray("kinds");
+            ArrayNode tenants = json.withObject("/settings").putArray("parties");
+            ArrayNode peers = json.putArray("peers");
+            for (int i = 0; i < many; i++) {
+                zones.add("zone-" + i);
+                kinds.add("kind-" + i);
+                tenants.addObject().put("name", "tenant-" + i).put("portion", 1.0 / many).put("quotaRps", 10);
+                peers.add("127.9." + i / 250 + "." + (1 + i % 250) + ":7946");
+                targets.add(Bed.target("s-" + i, upstream.endpoint(), "SERVING").put("az", "zone-" + i)
+                        .put("model", "kind-" + i).put("pod_group", i));
+            }
+            try (Bed bed = new Bed(json); Bed.Client client = new Bed.Client(bed.address)) {
+                for (int i = 0; i < many; i++) {
+                    String request = Bed.look("r" + i).replace("acme", "tenant-" + i);
+                    assertEquals(200, client.ask(request).status(), request);
+                }
+            }
+            assertEquals(many, upstream.heads.size());
+        }
+    }
+
     @Test
     void drainingSidecarAnswersWhatItHoldsAndEndsItsConnections() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
