Write every 5 s what decisions rest on, so that refusals can be told from causes

The lines on requests that ended badly name SHED and DEADLINE but not what stood behind them: how many upstreams were cold or shut, how attempts on cold and on warm ones ended, how long the loop was busy. One line every 5 s does, whatever the load.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -275,6 +275,9 @@
     /** A message from another sidecar of this tier. */
     default void peerMessage(long now, int from, byte[] message) { }
 
+    /** What the decisions rest on now, and what came of attempts since it was last asked: one line. */
+    String state(long now);
+
     private static void require(boolean holds, String setting) {
         if (!holds) {
             throw new IllegalArgumentException("setting makes no sense: " + setting);
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * Every decision of one sidecar. Interface, settings, events and actions are in {@code Balancer.java}.
@@ -30,6 +32,8 @@
     private final Admission admission;
     private final Reports reports;
     private final Alarms alarms;
+    private Tally warmTally = new Tally();
+    private Tally coldTally = new Tally();
 
     /** One instance a sidecar: the seed is its only source of chance. */
     public Rules(Settings settings, long seed, Actions actions) {
@@ -37,8 +41,8 @@
         this.actions = actions;
         this.random = new Random(seed);
         this.alarms = new Alarms(actions);
-        this.roster = new Roster();
         this.health = new Health();
+        this.roster = new Roster();
         this.admission = new Admission();
         this.reports = new Reports();
     }
@@ -107,6 +111,43 @@
         alarms.flush();
     }
 
+    @Override
+    public String state(long now) {
+        String usual = Arrays.stream(health.usual).map(each -> Long.toString((long) each.mean / 1_000_000))
+                .collect(Collectors.joining("/"));
+        String line = roster.ready.size() + " ready of " + roster.servers.size() + " known, "
+                + roster.warm(now) + " warm, " + health.shut(now) + " shut; shedding "
+                + Math.round(100 * admission.shedding(now)) + "%, held " + admission.held
+                + ", usual " + usual + " ms; attempts on warm " + warmTally + ", on cold " + coldTally;
+        warmTally = new Tally();
+        coldTally = new Tally();
+        return line;
+    }
+
+    /** How attempts have ended since the last line on the state, for operators alone. */
+    private static final class Tally {
+        private int inTime;
+        private int late;
+        private int failed;
+        private long took;
+
+        void add(Outcome outcome, boolean timely, long time) {
+            if (outcome != Outcome.OK) {
+                failed++;
+            } else {
+                inTime += timely ? 1 : 0;
+                late += timely ? 0 : 1;
+                took += time;
+            }
+        }
+
+        @Override
+        public String toString() {
+            return inTime + " in time " + late + " late " + failed + " failed, mean "
+                    + took / 1_000_000 / Math.max(1, inTime + late) + " ms";
+        }
+    }
+
     /** The order, the pointer and the pick. */
     private final class Pattern {
         private final List<Server> order = new ArrayList<>();
@@ -351,6 +392,8 @@
             server.inFlight--;
             roster.forget(server);
             health.ended(now, attempt, outcome, call);
+            (attempt.sentAt < server.coldUntil ? coldTally : warmTally)
+                    .add(outcome, now <= call.aimAt, now - attempt.sentAt);
             if (outcome != Outcome.CONNECT_FAILED) {
                 admission.ended(now, attempt, outcome, call);
             }
@@ -683,6 +726,11 @@
             return excused == Double.MAX_VALUE || server.connectFailures == 0 && current(server) <= excused;
         }
 
+        /** How many gates are shut, for operators: it tries none. */
+        long shut(long now) {
+            return roster.ready.stream().filter(server -> server.nextTrial > now).count();
+        }
+
         /** How many times slower than usual it answers; two answers are taken for granted. */
         private double current(Server server) {
             return (server.exposure + 2) / (server.heard + 2);
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -111,6 +111,14 @@
         if (automatic) {
             discovery.follow();
         }
+        loop.scheduleWithFixedDelay(this::logState, STATE_S, STATE_S, TimeUnit.SECONDS);
+    }
+
+    private void logState() {
+        long now = now();
+        System.err.println("state: " + calls.size() + " requests open, " + upstreams.open()
+                + " connections to upstreams, stalls up to " + stalls.recent(now) / 1_000_000 + " ms; "
+                + rules.state(now));
     }
 
     /** Discovery is at another address from now on. */
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -150,6 +150,11 @@
         }
     }
 
+    /** How many connections are open or being opened. */
+    int open() {
+        return connections;
+    }
+
     /** Closes all idle connections and keeps no more watch on them. */
     void close() {
         retirement.cancel(false);
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -435,6 +435,17 @@
                 + " of 20 are sent");
     }
 
+    @Test
+    void nothingIsKeptOfUpstreamsThatHaveLeft() {
+        Recorder host = host(ONCE).withUpstreams(3);
+        host.request(1, 0);
+        Recorder.Sent sent = host.last();
+        host.rules.listChanged(host.now, ListKind.FULL, List.of());
+        assertTrue(host.rules.state(host.now).startsWith("0 ready of 1 known"), host.rules.state(host.now));
+        host.outcome(sent, Outcome.OK);
+        assertTrue(host.rules.state(host.now).startsWith("0 ready of 0 known"), host.rules.state(host.now));
+    }
+
     @Test
     void turnsReachEachOfAThousandAndMoreUpstreams() {
         Recorder host = host(REPEATABLE).withUpstreams(1_024);
