Judge attempts at their aim, and let shedding find out that its jam is over

At fault, all in Rules.Admission: ended() counted an unanswered attempt when its deadline ended it, up to 7 s after its aim; shedding() weighed attempts alone, of which a shedding sidecar has none; and its prior of one attempt let two late ones of five shed a third. Now an attempt is judged at its aim, a shed request counts as an even chance, four attempts in time are taken for granted, and attempts withdrawn or never sent are no evidence.

RulesTest.lateAttemptsCountOnceTheirAimHasPassed, sheddingFindsOutThatItsJamIsOver.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -260,6 +260,7 @@
         final int crowd;
         final double found;
         boolean out = true;
+        boolean judged;
         boolean mayHaveRun = true;
 
         Attempt(Server server, long sentAt) {
@@ -378,6 +379,7 @@
             // where looks show what an upstream holds; elsewhere given-up work would run on unseen.
             boolean worthless = reports.looks() && call.kind.lateShare() == 0 && call.aimAt > now;
             actions.send(call.request.id(), server.entry.id(), worthless ? call.aimAt - now : 0);
+            alarms.set(Math.max(now, call.aimAt) + 1, at -> admission.judge(at, attempt, false));
         }
 
         void outcome(long now, long id, int number, Outcome outcome, boolean ended) {
@@ -394,9 +396,10 @@
             health.ended(now, attempt, outcome, call);
             (attempt.sentAt < server.coldUntil ? coldTally : warmTally)
                     .add(outcome, now <= call.aimAt, now - attempt.sentAt);
-            if (outcome != Outcome.CONNECT_FAILED) {
+            if (outcome != Outcome.CONNECT_FAILED && outcome != Outcome.NEVER_SENT) {
                 admission.ended(now, attempt, outcome, call);
             }
+            attempt.judged = true;
             if (outcome == Outcome.OK) {
                 roster.served.add(now, roster.work(call));
             }
@@ -797,6 +800,13 @@
         private static final int MANY_VOTES = 1000;
         /** Four in five in time is sound enough: the rest is chance and single faults. */
         private static final double ENOUGH = 1.25;
+        /**
+         * So many attempts in time are taken for granted. Danger: a sidecar with little traffic sees a few
+         * attempts in two aims, and two late ones among them, by chance, would have it shed a third.
+         */
+        private static final int FEW = 4;
+        /** What is not tried is as likely to be in time as not. */
+        private static final double UNKNOWN = 0.5;
         private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
         private int held;
         private long drains;
@@ -804,10 +814,11 @@
         private final int[] firstVotes = new int[settings.classes().size()];
         /**
          * Over two aims: whether an attempt was in time shows within one. Danger: shedding keeps newer
-         * evidence away, and older would shed long after its jam. One is taken for good at first.
+         * evidence away, and older would shed long after its jam.
          */
-        private final FadingSum tried = new FadingSum(2.0 * health.firstBackoff, 1);
-        private final FadingSum inTime = new FadingSum(2.0 * health.firstBackoff, 1);
+        private final FadingSum tried = new FadingSum(2.0 * health.firstBackoff, 0);
+        private final FadingSum inTime = new FadingSum(2.0 * health.firstBackoff, 0);
+        private final FadingSum spared = new FadingSum(2.0 * health.firstBackoff, 0);
 
         Admission() {
             for (int i = 0; i < shares.length; i++) {
@@ -845,6 +856,7 @@
             }
             int ease = call.request.clientRetry() ? 3 : 1;
             if (call.attempts.isEmpty() && !call.asked && random.nextDouble() < ease * shedding(now)) {
+                spared.add(now, 1);
                 ledger.answer(call, Reason.SHED);
                 return;
             }
@@ -872,9 +884,13 @@
          * upstream binds; once work is answered too late, upstreams work for nobody until much less is sent.
          * Nothing is shed while four fifths of the recent attempts were in time; below, the cube lets a jam
          * drain where a share would feed it. What is shed comes again: marked retries are shed more readily.
+         * Danger: shed requests bring no evidence, and sidecars that shed together would not see their
+         * upstreams recover. What was shed counts as an even chance, which keeps a few coming in any jam.
          */
         private double shedding(long now) {
-            double borne = Math.min(1, ENOUGH * (inTime.value(now) + 1) / (tried.value(now) + 1));
+            double unknown = spared.value(now);
+            double borne = Math.min(1, ENOUGH * (inTime.value(now) + UNKNOWN * unknown + FEW)
+                    / (tried.value(now) + unknown + FEW));
             return 1 - borne * borne * borne;
         }
 
@@ -921,8 +937,9 @@
 
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
             Server server = attempt.server;
-            tried.add(now, 1);
-            inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? 1 : 0);
+            if (outcome != Outcome.CANCELLED) {
+                judge(now, attempt, outcome == Outcome.OK && now <= call.aimAt);
+            }
             Usual usual = health.usual[call.request.requestClass()];
             double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
             if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
@@ -935,6 +952,19 @@
             }
         }
 
+        /**
+         * Takes an attempt for evidence as soon as it is known to be in time or late. Danger: counted when it
+         * ends, one that is never answered speaks of a jam a whole deadline old.
+         */
+        void judge(long now, Attempt attempt, boolean timely) {
+            if (attempt.judged) {
+                return;
+            }
+            tried.add(now, 1);
+            inTime.add(now, timely ? 1 : 0);
+            attempt.judged = true;
+        }
+
         /** Under overload a further attempt takes the place of a first one. */
         boolean worthRetry(long now, Call call) {
             return now < call.aimAt && shedding(now) < 0.8;
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -435,6 +435,43 @@
                 + " of 20 are sent");
     }
 
+    /** Who has not been answered by its aim is late; that is known then, and not at its deadline. */
+    @Test
+    void lateAttemptsCountOnceTheirAimHasPassed() {
+        Recorder host = host(ONCE).withUpstreams(40);
+        for (int i = 0; i < 30; i++) {
+            host.request(i, 0);
+            host.advance(3 * MS);
+        }
+        host.advance(500 * MS);
+        int before = host.sends.size();
+        host.burst(100, 140, 0);
+        assertTrue(host.sends.size() - before < 20, "sent " + (host.sends.size() - before) + " into a jam");
+    }
+
+    /** However many attempts a jam has made late: once upstreams answer again, a few aims bring them back. */
+    @Test
+    void sheddingFindsOutThatItsJamIsOver() {
+        Recorder host = host(ONCE).withUpstreams(40);
+        for (int i = 0; i < 400; i++) {
+            host.request(i, 0);
+            host.advance(5 * MS);
+        }
+        List.copyOf(host.sends).forEach(sent -> host.outcome(sent, Outcome.CANCELLED));
+        int before = host.sends.size();
+        for (int i = 1_000; i < 1_100; i++) {
+            before = i == 1_060 ? host.sends.size() : before;
+            host.request(i, 0);
+            host.advance(20 * MS);
+            if (host.last().request() == i) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+            host.advance(30 * MS);
+        }
+        int sent = host.sends.size() - before;
+        assertTrue(sent >= 24, "6 aims after the jam " + sent + " of 40 are sent");
+    }
+
     @Test
     void nothingIsKeptOfUpstreamsThatHaveLeft() {
         Recorder host = host(ONCE).withUpstreams(3);
