Bound the attempts a sidecar has out until they are known to be in time

Limits are per upstream and start at 2, so that 61 upstreams let one sidecar have 122 attempts out, and a hundred sidecars 12,000, at 180 cores. At fault: Rules.Admission.place, which asks no more than each upstream's limit.

Now a window over all upstreams, opened from 4 by what is in time and closed by a fifth a round trip when less than four in five are; it counts attempts until their aim, so that an upstream that answers nobody holds no place for longer.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -379,6 +379,7 @@
             // where looks show what an upstream holds; elsewhere given-up work would run on unseen.
             boolean worthless = reports.looks() && call.kind.lateShare() == 0 && call.aimAt > now;
             actions.send(call.request.id(), server.entry.id(), worthless ? call.aimAt - now : 0);
+            admission.unjudged++;
             alarms.set(Math.max(now, call.aimAt) + 1, at -> admission.judge(at, attempt, false));
         }
 
@@ -399,7 +400,7 @@
             if (outcome != Outcome.CONNECT_FAILED && outcome != Outcome.NEVER_SENT) {
                 admission.ended(now, attempt, outcome, call);
             }
-            attempt.judged = true;
+            admission.settle(attempt);
             if (outcome == Outcome.OK) {
                 roster.served.add(now, roster.work(call));
             }
@@ -800,6 +801,8 @@
         private static final int MANY_VOTES = 1000;
         /** Four in five in time is sound enough: the rest is chance and single faults. */
         private static final double ENOUGH = 1.25;
+        /** So many for each upstream are no jam; and one alone might wait for a silent upstream. */
+        private static final double LEAST = 4;
         /**
          * So many attempts in time are taken for granted. Danger: a sidecar with little traffic sees a few
          * attempts in two aims, and two late ones among them, by chance, would have it shed a third.
@@ -818,6 +821,15 @@
          */
         private final FadingSum tried = new FadingSum(2.0 * health.firstBackoff, 0);
         private final FadingSum inTime = new FadingSum(2.0 * health.firstBackoff, 0);
+        /**
+         * How many attempts may be out that are not yet known to be in time or late. Danger: with hundreds of
+         * upstreams and sidecars no limit per upstream binds, and the first requests of all sidecars, at once
+         * after a restart or a burst, are a jam. It opens twofold a round trip, and later grows by one.
+         */
+        private double window;
+        private boolean opening = true;
+        private long lastCut;
+        private int unjudged;
         private final FadingSum spared = new FadingSum(2.0 * health.firstBackoff, 0);
 
         Admission() {
@@ -899,6 +911,9 @@
         }
 
         private boolean place(long now, Call call) {
+            if (unjudged >= (int) window()) {
+                return false;
+            }
             Server server = pattern.pick(now, call, 0);
             if (server == null) {
                 server = pattern.pick(now, call, health.excusable(now, call));
@@ -962,7 +977,35 @@
             }
             tried.add(now, 1);
             inTime.add(now, timely ? 1 : 0);
-            attempt.judged = true;
+            resize(now, attempt, timely);
+            settle(attempt);
+        }
+
+        /** A sidecar just started begins with twice its part, since most will find upstreams sound. */
+        private double window() {
+            double least = LEAST * Math.max(1, (double) roster.ready.size() / settings.replicas());
+            return Math.max(window, opening ? 2 * least : least);
+        }
+
+        /** A full window grows while enough is in time; else a late attempt shrinks it, once a round trip. */
+        private void resize(long now, Attempt attempt, boolean timely) {
+            boolean sound = ENOUGH * (inTime.value(now) + FEW) >= tried.value(now) + FEW;
+            double open = window();
+            if (timely && sound && 2 * unjudged >= open) {
+                window = open + (opening ? 1 : Math.min(0.2 * open, 1 / open));
+            } else if (!timely && !sound && attempt.sentAt >= lastCut) {
+                window = 0.8 * Math.min(open, unjudged);
+                opening = false;
+                lastCut = now;
+            }
+        }
+
+        /** Frees the attempt's place in the window. */
+        void settle(Attempt attempt) {
+            if (!attempt.judged) {
+                attempt.judged = true;
+                unjudged--;
+            }
         }
 
         /** Under overload a further attempt takes the place of a first one. */
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -489,6 +489,19 @@
         assertEquals(1_024, new HashSet<>(turn(host, 1_024, 0)).size());
     }
 
+    /** Where no limit per upstream binds, all that come together after a start are not sent together. */
+    @Test
+    void attemptsThatAreOutAreBoundedUntilAnswersCome() {
+        Recorder host = new Recorder(Recorder.peerSettings(ONCE), 7).withUpstreams(100);
+        host.burst(0, 100, 0);
+        assertTrue(host.sends.size() <= 8, "at once " + host.sends.size());
+        host = new Recorder(Recorder.peerSettings(ONCE), 7).withUpstreams(100);
+        host.serveTogether(1_000, 6, 0, 20 * MS);
+        int before = host.sends.size();
+        host.burst(5_000, 5_080, 0);
+        assertTrue(host.sends.size() - before >= 64, "once all was in time " + (host.sends.size() - before));
+    }
+
     @Test
     void silenceBringsNoSecondCopy() {
         Recorder host = host(REPEATABLE).withUpstreams(4);
