Give cold upstreams their part when it is due, more where they answer quicker

At fault: Rules.Roster.coldRoom is asked only when the pattern comes round to an upstream, every 6 s here; its part, a fraction of a request a turn, lapsed in between (coldTokens are cut at half a tip time). And comparable() takes what jammed warm ones serve for what they could.

Ruled out: shut gates (3 of 65), limits (no cold upstream had two attempts out).

Now what is due goes first, and as much longer as warm answers take, so much more goes to the cold: up to one less than the factor that tips one over, growing as it warms.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -170,6 +170,10 @@
             if (!call.attempts.isEmpty() && !ledger.mayTryAgain(now, call)) {
                 return null;
             }
+            Server due = call.attempts.isEmpty() ? roster.due(now, call, excused) : null;
+            if (due != null) {
+                return due;
+            }
             Server pointed = null;
             Server passedOver = null;
             int start = pointer;
@@ -450,6 +454,8 @@
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> ready = List.of();
         private List<Server> cold = List.of();
+        private final Took coldTook = new Took();
+        private final Took warmTook = new Took();
         private long nextWarm = Long.MAX_VALUE;
         private boolean listed;
         private final FadingSum served = new FadingSum(settings.limits().rampTime(), 0);
@@ -527,6 +533,39 @@
             return ready.size() - cold(now).size();
         }
 
+        /** Takes an answer's time, in parts of the expected, for how full the cold or the warm ones are. */
+        void answered(long now, Attempt attempt, double ratio) {
+            (attempt.sentAt < attempt.server.coldUntil ? coldTook : warmTook).add(now, ratio);
+        }
+
+        /**
+         * How much more than their mere part the cold ones take, or less. Danger: where the warm ones have
+         * jammed, what they serve tells less than what they could, and cold ones idle beside them; after a
+         * burst it tells more. As much longer as warm answers take than cold ones, so much more goes to the
+         * cold: up to one less than what tips one over, and that only as it warms.
+         */
+        private double lean(long now, double warmth) {
+            double lean = warmTook.mean(now) / coldTook.mean(now);
+            double most = Math.max(1, settings.limits().overloadFactor() - 1);
+            return Math.min(lean, 1 + warmth * (Math.min(lean, most) - 1));
+        }
+
+        /**
+         * A cold server whose part is due to it. Danger: its part is a fraction of a request in each turn of
+         * a sidecar that comes round to it every few seconds; left for its next turn, most of it would lapse,
+         * and what is cold would idle while the warm ones jam.
+         */
+        Server due(long now, Call call, double excused) {
+            if (warm(now) > 0) {
+                for (Server server : cold(now)) {
+                    if (mayTake(now, server, call, excused)) {
+                        return server;
+                    }
+                }
+            }
+            return null;
+        }
+
         /** Takes one line over; true if the set of ready servers changed. */
         private boolean update(long now, Upstream entry) {
             Server server = servers.get(entry.id());
@@ -559,7 +598,7 @@
             double warmth = Math.max(0, Math.min(1,
                     1 - (server.coldUntil - now) / (double) settings.limits().rampTime()));
             double cold = settings.limits().coldShare();
-            double rate = comparable(now) * (cold + (1 - cold) * warmth);
+            double rate = comparable(now) * (cold + (1 - cold) * warmth) * lean(now, warmth);
             if (rate == 0) {
                 // Nothing to compare with yet. Danger: one at a time is one from every sidecar at once, so a
                 // lone sidecar's habit pushes a cold server over; the warm ones take the request instead.
@@ -595,6 +634,22 @@
         }
     }
 
+    /** What answers of late took, in parts of the expected; a few are taken to have been as expected. */
+    private final class Took {
+        private static final int FEW = 3;
+        private final FadingSum sum = new FadingSum(8.0 * health.firstBackoff, 0);
+        private final FadingSum count = new FadingSum(8.0 * health.firstBackoff, 0);
+
+        void add(long now, double ratio) {
+            sum.add(now, ratio);
+            count.add(now, 1);
+        }
+
+        double mean(long now) {
+            return (sum.value(now) + FEW) / (count.value(now) + FEW);
+        }
+    }
+
     /** Usual time to an answer of one class, and its growth with the hinted cost by least squares. */
     private static final class Usual {
         /** About the last 50 answers. */
@@ -747,6 +802,7 @@
             switch (outcome) {
                 case OK -> {
                     reports.learn(attempt, now - attempt.sentAt);
+                    roster.answered(now, attempt, (now - attempt.sentAt) / call.expected);
                     learnPace(server, (now - attempt.sentAt) / call.expected);
                     usual[call.request.requestClass()].learn(now - attempt.sentAt, call.request.costHint());
                     heard(server);
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -303,6 +303,49 @@
         assertTrue(cold > 10 && cold < 25, "cold upstream got " + cold);
     }
 
+    /** A sidecar with little traffic comes round to an upstream once in many seconds. */
+    @Test
+    void coldUpstreamGetsItsShareAlsoWhereTurnsAreLong() {
+        int cold = 0;
+        for (int seed = 0; seed < 50; seed++) {
+            Recorder one = new Recorder(settings(ONCE), seed).withUpstreams(60);
+            one.serve(0, 100, 0, 100 * MS);
+            one.rules.listChanged(one.now, ListKind.DELTA, List.of(upstream(99, State.READY, one.now)));
+            int since = one.sends.size();
+            one.serve(1_000, 1_060, 0, 100 * MS);
+            cold += (int) one.sentTo(99, since);
+        }
+        // 6 s: a warm one gets 50, of which the share of 0.3 to 0.8 leaves 27.
+        assertTrue(cold > 20 && cold < 40, "of 50 sidecars " + cold);
+    }
+
+    /** Cold ones that answer quicker than warm ones take more of the work, and slower ones less. */
+    @Test
+    void coldUpstreamsTakeMoreWhereTheyAnswerQuickerThanWarmOnes() {
+        long quick = coldTurns(20 * MS, 200 * MS);
+        long even = coldTurns(60 * MS, 60 * MS);
+        long slow = coldTurns(200 * MS, 20 * MS);
+        assertTrue(quick > even && even > slow, "quick " + quick + ", even " + even + ", slow " + slow);
+    }
+
+    /** What a cold upstream gets in 6 s, by the times in which it and the warm ones answer. */
+    private static long coldTurns(long cold, long warm) {
+        Recorder host = host(ONCE).withUpstreams(4);
+        host.serve(0, 400, 0, 60 * MS);
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(9, State.READY, host.now)));
+        int before = host.sends.size();
+        long end = host.now + 6_000 * MS;
+        for (int id = 1_000; host.now < end; id++) {
+            host.request(id, 0);
+            Recorder.Sent sent = host.last();
+            long took = sent.upstream() == 9 ? cold : warm;
+            host.advance(took);
+            host.outcome(sent, Outcome.OK);
+            host.advance(220 * MS - took);
+        }
+        return host.sentTo(9, before);
+    }
+
     @Test
     void firstRequestsOfManySidecarsDoNotPushAColdUpstreamOver() {
         int cold = 0;
