Warn other sidecars of upstreams that keep requests, and try shut ones less often

At fault: Rules.Health.open. A sidecar comes to one upstream every 6 s, a shut gate was tried after 1 to 8 aims of 0.6 s: each turn was a trial. And each sidecar paid for what others knew.

Now a gate stays shut for two turns of the pattern at least, and where the settings allow messages, sidecars name to each other an upstream that kept an attempt past its aim; one that is named far more often than others is shut. Messages keep to one per cent of all worth, and nothing but the gate rests on them.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -1,5 +1,6 @@
 package pondridge;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -31,6 +32,7 @@
     private final Health health;
     private final Admission admission;
     private final Reports reports;
+    private final Warnings warnings;
     private final Alarms alarms;
     private Tally warmTally = new Tally();
     private Tally coldTally = new Tally();
@@ -41,6 +43,7 @@
         this.actions = actions;
         this.random = new Random(seed);
         this.alarms = new Alarms(actions);
+        this.warnings = new Warnings();
         this.health = new Health();
         this.roster = new Roster();
         this.admission = new Admission();
@@ -96,6 +99,13 @@
         alarms.flush();
     }
 
+    @Override
+    public void peerMessage(long now, int from, byte[] message) {
+        if (from != settings.rank()) {
+            warnings.heard(now, message);
+        }
+    }
+
     @Override
     public void hangup(long now, long request) {
         Call call = ledger.calls.get(request);
@@ -249,10 +259,13 @@
         double limit = Admission.FIRST_LIMIT;
         long lastCut;
         double holds = Double.MAX_VALUE;
+        boolean suspect;
+        final FadingSum warned;
         final List<Call> askers = new ArrayList<>(2);
 
-        Server(Upstream entry, long now) {
+        Server(Upstream entry, long now, FadingSum warned) {
             this.entry = entry;
+            this.warned = warned;
             this.integratedAt = now;
             this.coldAt = now;
         }
@@ -377,6 +390,7 @@
             call.asked = false;
             call.looked = List.of();
             health.sent(now, server, call);
+            warnings.earn();
             server.coldTokens -= roster.work(call);
             server.inFlight++;
             // Danger: work past its aim keeps a core from work that can still be in time. It is given up only
@@ -384,7 +398,7 @@
             boolean worthless = reports.looks() && call.kind.lateShare() == 0 && call.aimAt > now;
             actions.send(call.request.id(), server.entry.id(), worthless ? call.aimAt - now : 0);
             admission.unjudged++;
-            alarms.set(Math.max(now, call.aimAt) + 1, at -> admission.judge(at, attempt, false));
+            alarms.set(Math.max(now, call.aimAt) + 1, at -> admission.judge(at, attempt, false, call.aim));
         }
 
         void outcome(long now, long id, int number, Outcome outcome, boolean ended) {
@@ -506,6 +520,7 @@
                 ready = servers.values().stream().filter(s -> s.entry.state() == State.READY).toList();
                 findCold(now);
                 pattern.redraw(ready);
+                warnings.name(ready);
             }
         }
 
@@ -574,7 +589,7 @@
             boolean fresh = server == null || entry.startedAt() > server.entry.startedAt();
             if (fresh) {
                 long since = entry.startedAt() == 0 && listed ? now : entry.startedAt();
-                server = new Server(entry, now);
+                server = new Server(entry, now, warnings.none());
                 server.credit = random.nextDouble();
                 servers.put(entry.id(), server);
                 if (since > 0 && now < since + settings.limits().rampTime()) {
@@ -730,12 +745,17 @@
         /** Of each class, over all servers, starting from a tenth of its aim. */
         private final Usual[] usual = new Usual[settings.classes().size()];
         private final long firstBackoff;
+        /** Attempts of the last eight aims. */
+        private final FadingSum turns;
+        private final double lately;
 
         Health() {
             for (int i = 0; i < usual.length; i++) {
                 usual[i] = new Usual(settings.classes().get(i).aim() / 10.0);
             }
             firstBackoff = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(1);
+            lately = 8.0 * firstBackoff;
+            turns = new FadingSum(lately, 0);
         }
 
         private void integrate(long now, Server server) {
@@ -746,27 +766,37 @@
         void sent(long now, Server server, Call call) {
             integrate(now, server);
             server.load += 1 / call.expected;
+            turns.add(now, 1);
             if (server.nextTrial > 0) {
-                server.backoff = Math.min(server.backoff * 2, firstBackoff * 8);
+                server.backoff = Math.min(server.backoff * 2, patience(now) * 8);
                 server.nextTrial = now + server.backoff;
             }
         }
 
         boolean open(long now, Server server, Call call) {
             integrate(now, server);
-            boolean closed = server.connectFailures > 0
+            boolean closed = server.connectFailures > 0 || warnings.suspects(now, server)
                     || current(server) > SLOW && current(server) * call.expected > USELESS * call.aim;
             if (!closed) {
                 server.nextTrial = 0;
                 return true;
             }
             if (server.nextTrial == 0) {
-                server.backoff = firstBackoff;
-                server.nextTrial = now + server.backoff;
+                server.backoff = patience(now);
+                server.nextTrial = now + server.backoff / 2 + random.nextLong(server.backoff + 1);
             }
             return now >= server.nextTrial;
         }
 
+        /**
+         * How long a shut gate first stays so. Danger: where each of many sidecars comes to an upstream but
+         * rarely, its trials are as many as its turns, and their sum leaves a jammed one as full as ever.
+         */
+        private long patience(long now) {
+            double turn = roster.ready.size() * lately / Math.max(1, turns.value(now));
+            return (long) Math.max(firstBackoff, Math.min(2 * turn, 32.0 * firstBackoff));
+        }
+
         /**
          * Up to which slowness a shut gate is excused. Danger: a trouble common to all would empty the
          * pattern, and one common to most would press all work on the few that are left. Gates that all shut
@@ -1009,7 +1039,7 @@
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
             Server server = attempt.server;
             if (outcome != Outcome.CANCELLED) {
-                judge(now, attempt, outcome == Outcome.OK && now <= call.aimAt);
+                judge(now, attempt, outcome == Outcome.OK && now <= call.aimAt, call.aim);
             }
             Usual usual = health.usual[call.request.requestClass()];
             double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
@@ -1027,7 +1057,7 @@
          * Takes an attempt for evidence as soon as it is known to be in time or late. Danger: counted when it
          * ends, one that is never answered speaks of a jam a whole deadline old.
          */
-        void judge(long now, Attempt attempt, boolean timely) {
+        void judge(long now, Attempt attempt, boolean timely, double aim) {
             if (attempt.judged) {
                 return;
             }
@@ -1035,6 +1065,9 @@
             inTime.add(now, timely ? 1 : 0);
             resize(now, attempt, timely);
             settle(attempt);
+            if (!timely && now - attempt.sentAt > LATE * aim) {
+                warnings.warn(now, attempt.server);
+            }
         }
 
         /** A sidecar just started begins with twice its part, since most will find upstreams sound. */
@@ -1075,6 +1108,88 @@
         }
     }
 
+    /**
+     * Warnings among sidecars, where they may send messages. Danger: with hundreds of upstreams and sidecars
+     * each sidecar comes to one upstream every few seconds; what it learns there alone comes too late, and
+     * each pays for it. So the others are told which upstream kept an attempt past its aim. A lost warning is
+     * one sidecar's evidence less; one that is wrong shuts a gate, which trials open again.
+     */
+    private final class Warnings {
+        /** Part of all worth that warnings may be charged. */
+        private static final double CHEAP = 0.01;
+        private static final int LARGEST = 256;
+        /** Charged beside a message's bytes, as measured; so names go together where credit is short. */
+        private static final int HEAD = 8;
+        private static final int MOST_NAMES = 4;
+        /** So many above what is usual among all upstreams are no chance. */
+        private static final double MANY = 3;
+        private final boolean allowed = settings.allowed().peers() && settings.replicas() > 1;
+        /** Bytes that one attempt pays for: each message is charged once for every receiver. */
+        private final double earned = settings.charges().peer() == 0 ? LARGEST
+                : CHEAP * LARGEST / (settings.charges().peer() * Math.max(1, settings.replicas() - 1));
+        /** Four aims: long enough to see several sidecars' turns, short against a fault. */
+        private final double window = 4.0 * settings.classes().stream().mapToLong(RequestClass::aim).min()
+                .orElse(1);
+        private final FadingSum all = none();
+        private Map<Integer, Server> named = Map.of();
+        private final ArrayDeque<Integer> untold = new ArrayDeque<>(MOST_NAMES);
+        private double credit;
+
+        FadingSum none() {
+            return new FadingSum(window, 0);
+        }
+
+        /** Names on the way are four bytes; the id has the same ones at every sidecar. */
+        void name(List<Server> ready) {
+            named = new HashMap<>(2 * ready.size());
+            ready.forEach(server -> named.put(Long.hashCode(server.entry.id()), server));
+        }
+
+        void earn() {
+            credit = Math.min(LARGEST, credit + earned);
+        }
+
+        void warn(long now, Server server) {
+            if (!allowed) {
+                return;
+            }
+            count(now, server);
+            if (untold.size() == MOST_NAMES) {
+                untold.remove();
+            }
+            untold.add(Long.hashCode(server.entry.id()));
+            int cost = HEAD + Integer.BYTES * untold.size();
+            if (credit >= cost) {
+                credit -= cost;
+                ByteBuffer names = ByteBuffer.allocate(Integer.BYTES * untold.size());
+                untold.forEach(names::putInt);
+                untold.clear();
+                actions.tell(Actions.ALL_PEERS, names.array());
+            }
+        }
+
+        void heard(long now, byte[] message) {
+            for (ByteBuffer names = ByteBuffer.wrap(message); names.remaining() >= Integer.BYTES;) {
+                Server server = named.get(names.getInt());
+                if (server != null) {
+                    count(now, server);
+                }
+            }
+        }
+
+        private void count(long now, Server server) {
+            server.warned.add(now, 1);
+            all.add(now, 1);
+        }
+
+        /** Whether so much more is said of it than of others; a common trouble makes none a suspect. */
+        boolean suspects(long now, Server server) {
+            double usual = MANY + 2 * all.value(now) / Math.max(1, roster.ready.size());
+            server.suspect = server.warned.value(now) > (server.suspect ? usual / 2 : usual);
+            return server.suspect;
+        }
+    }
+
     /**
      * Looking before a send, where upstreams tell what they hold and a probe is all but free. Danger: with
      * hundreds of sidecars all of an upstream's work is other sidecars', which own in-flight counts never
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -9,13 +9,16 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
 import pondridge.Options;
 
 /** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Discovery.Listing known, Options options) {
+        Peers.Addresses peers, Discovery.Listing known, Options options) {
     static final ObjectMapper JSON = new ObjectMapper();
     private static final int FEWEST_SOCKETS = 64;
 
@@ -43,7 +46,7 @@
         Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known"))
                 : Discovery.Listing.NONE;
         return new Config(root.path("name").asText("sidecar"), address(root, "listen"),
-                address(root, "discovery"), seed(root), sockets, known, options);
+                address(root, "discovery"), seed(root), sockets, peers(root), known, options);
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
@@ -54,6 +57,17 @@
         return address;
     }
 
+    private static Peers.Addresses peers(JsonNode root) {
+        List<InetSocketAddress> each = new ArrayList<>();
+        root.path("peers").forEach(node -> each.add(parseAddress(node.asText())));
+        if (each.contains(null)) {
+            throw new IllegalArgumentException("not an address and port: peers");
+        }
+        return new Peers.Addresses(root.has("peer_listen") ? address(root, "peer_listen") : null,
+                Collections.unmodifiableList(each),
+                root.has("peers_all") ? address(root, "peers_all") : null);
+    }
+
     private static long seed(JsonNode root) {
         try {
             return Long.parseUnsignedLong(root.path("seed").asText(), 16);
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -80,6 +80,7 @@
     private final boolean automatic;
     private final Upstreams upstreams;
     private final Discovery discovery;
+    private final Peers peers;
     private final BadEnds badEnds = new BadEnds(System.err);
     private final Map<Long, Call> calls = new HashMap<>();
     /** Of what the list names, by the id that the module knows it by. */
@@ -100,6 +101,8 @@
         this.automatic = settings.discovery() == Balancer.Discovery.AUTOMATIC;
         this.upstreams = new Upstreams(loop, config.options(), config.sockets() / 2);
         this.discovery = new Discovery(loop, config.discovery(), config.known(), this::listed);
+        this.peers = new Peers(config.peers(), (from, message) ->
+                tell(now -> rules.peerMessage(now, from, message)));
         config.options().list("zones").forEach(zone -> number(zones, zone));
         config.options().list("kinds").forEach(kind -> number(kinds, kind));
     }
@@ -111,6 +114,7 @@
         if (automatic) {
             discovery.follow();
         }
+        peers.listen(loop);
         loop.scheduleWithFixedDelay(this::logState, STATE_S, STATE_S, TimeUnit.SECONDS);
     }
 
@@ -349,10 +353,9 @@
         upstreams.closeIdle(upstream);
     }
 
-    /** Sidecars of this kind share nothing; the module does not use peers. */
     @Override
     public void tell(int peer, byte[] message) {
-        throw new UnsupportedOperationException("peers");
+        peers.send(peer, message);
     }
 
     @Override
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -554,6 +554,104 @@
         assertEquals(1, host.sendsOf(100).size(), "one attempt at a time");
     }
 
+    // ---------------------------------------------------------------- warnings
+
+    private static Recorder peer(int seed) {
+        return new Recorder(Recorder.peerSettings(ONCE), seed).withUpstreams(20);
+    }
+
+    /** Has a sidecar that sends to upstream 3 alone find it silent; what it tells of that. */
+    private static List<byte[]> warnings(int attempts) {
+        Recorder host = new Recorder(Recorder.peerSettings(ONCE), 7);
+        host.rules.listChanged(host.now, ListKind.CACHED, List.of(upstream(1), upstream(2)));
+        host.serve(0, 400, 0, 20 * MS);
+        assertTrue(host.told.isEmpty(), "nothing to tell while all answer");
+        host.rules.listChanged(host.now, ListKind.FULL, List.of(upstream(3)));
+        for (int i = 0; i < attempts; i++) {
+            host.request(1_000 + i, 0);
+            host.advance(2_000 * MS);
+        }
+        return host.told;
+    }
+
+    @Test
+    void whatOneSidecarFindsSilentTheOthersPassOver() {
+        List<byte[]> told = warnings(8);
+        assertFalse(told.isEmpty());
+        Recorder host = peer(7);
+        host.serve(0, 40, 0, 20 * MS);
+        for (int from = 1; from <= 9; from++) {
+            host.rules.peerMessage(host.now, from, told.get(0));
+        }
+        int before = host.sends.size();
+        host.serve(100, 140, 0, 5 * MS);
+        assertEquals(0, host.sentTo(3, before));
+        host.advance(10_000 * MS);
+        before = host.sends.size();
+        host.serve(200, 220, 0, 5 * MS);
+        assertEquals(1, host.sentTo(3, before), "warnings fade");
+    }
+
+    @Test
+    void warningsOfAllUpstreamsShutNone() {
+        Recorder host = peer(7);
+        host.serve(0, 40, 0, 20 * MS);
+        for (int id = 0; id < 20; id++) {
+            for (int from = 1; from <= 9; from++) {
+                host.rules.peerMessage(host.now, from, new byte[] {0, 0, 0, (byte) id});
+            }
+        }
+        int before = host.sends.size();
+        host.serve(100, 120, 0, 5 * MS);
+        for (int id = 0; id < 20; id++) {
+            assertEquals(1, host.sentTo(id, before), "upstream " + id);
+        }
+    }
+
+    @Test
+    void messagesThatMakeNoSenseArePassedOver() {
+        Recorder host = peer(7);
+        for (byte[] odd : new byte[][] {{}, {1}, {0, 0, 0, 99}, {0, 0, 0, 3, 7}, new byte[256]}) {
+            host.rules.peerMessage(host.now, 50_000, odd);
+        }
+        host.serve(0, 20, 0, 5 * MS);
+        assertEquals(20, host.sends.size());
+    }
+
+    @Test
+    void warningsKeepToTheirPartOfWhatMessagesCost() {
+        Recorder host = peer(7);
+        for (int i = 0; i < 500; i++) {
+            int before = host.sends.size();
+            host.request(i, 0);
+            host.advance(1_000 * MS);
+            List.copyOf(host.sends.subList(before, host.sends.size()))
+                    .forEach(sent -> host.outcome(sent, Outcome.CANCELLED));
+        }
+        int bytes = host.told.stream().mapToInt(message -> message.length).sum();
+        // 99 receivers at 0.04 for 256 bytes a request: one per cent of all worth is 0.65 bytes a request.
+        assertTrue(bytes > 0 && bytes <= 0.65 * host.sends.size(), bytes + " for " + host.sends.size());
+    }
+
+    /** Where a whole turn takes long, a shut gate is not tried at each of its turns. */
+    @Test
+    void aSilentUpstreamIsTriedLessOftenThanItsTurns() {
+        Recorder host = host(ONCE).withUpstreams(20);
+        host.serve(0, 100, 0, 20 * MS);
+        host.advance(20_000 * MS);
+        int before = host.sends.size();
+        for (int i = 1_000; i < 1_100; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            boolean silent = sent.upstream() == 3;
+            host.advance(silent ? 1_000 * MS : 20 * MS);
+            host.outcome(sent, silent ? Outcome.CANCELLED : Outcome.OK);
+            host.advance(480 * MS);
+        }
+        long tries = host.sentTo(3, before);
+        assertTrue(tries >= 1 && tries <= 3, "tried " + tries + " times in 5 turns");
+    }
+
     // ---------------------------------------------------------------- a look before a send
 
     private static Recorder lookingHost(int replicas) {
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/PeersTest.java
@@ -0,0 +1,71 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pondridge.Balancer.Actions;
+
+/** Messages between sidecars on real sockets. */
+class PeersTest {
+    private record Heard(int from, byte[] message) { }
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static DatagramSocket socket() throws Exception {
+        DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Stub.LIMIT_S));
+        return socket;
+    }
+
+    private static InetSocketAddress address(DatagramSocket socket) {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    @Test
+    void messagesGoToAllAndComeFromKnownSidecarsAlone() throws Exception {
+        try (DatagramSocket all = socket(); DatagramSocket first = socket(); DatagramSocket third = socket();
+                DatagramSocket stranger = socket()) {
+            InetSocketAddress listen;
+            try (DatagramSocket free = socket()) {
+                listen = address(free);
+            }
+            Peers peers = new Peers(new Peers.Addresses(listen,
+                    List.of(address(first), listen, address(third)), address(all)),
+                    (from, message) -> heard.add(new Heard(from, message)));
+            loop.submit(() -> peers.listen(loop)).sync();
+            loop.submit(() -> peers.send(Actions.ALL_PEERS, new byte[] {1, 2, 3, 4})).sync();
+            DatagramPacket packet = new DatagramPacket(new byte[300], 300);
+            all.receive(packet);
+            assertEquals(4, packet.getLength());
+            assertEquals(listen, packet.getSocketAddress());
+            stranger.send(new DatagramPacket(new byte[] {9}, 1, listen));
+            third.send(new DatagramPacket(new byte[300], 300, listen));
+            third.send(new DatagramPacket(new byte[] {5, 6}, 2, listen));
+            Heard one = Stub.next(heard);
+            assertEquals(2, one.from);
+            assertArrayEquals(new byte[] {5, 6}, one.message);
+            assertEquals(0, heard.size());
+        }
+    }
+}
