--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -125,7 +125,7 @@
 
     /**
      * What the host allows; a disallowed action is never asked for. {@link Rules} makes no use of
-     * peers or parallel tries so far.
+     * parallel tries so far.
      */
     record Allowed(boolean cancel, boolean probes, boolean peers, boolean parallelTries, boolean retryAfter,
             int tryLimit, long maxRetryAfter, long connectTimeout) {
@@ -157,7 +157,7 @@
     }
 
     /**
-     * What an instance is set to. {@link Rules} makes no use of rank, zone, weights,
+     * What an instance is set to. {@link Rules} makes no use of zone, weights,
      * the unit of worth or the worth over share; hosts fill them in for modules that do.
      *
      * @param rank this sidecar's number among {@code replicas}
