--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -887,10 +887,8 @@
         private static final int MANY_VOTES = 1000;
         /** Four in five in time is sound enough: the rest is chance and single faults. */
         private static final double ENOUGH = 1.25;
-        /** So many for each upstream, from all sidecars together, are no jam. */
-        private static final double EACH = 4;
-        /** One alone might wait for a silent upstream. */
-        private static final int LEAST = 2;
+        /** So many for each upstream are no jam; and one alone might wait for a silent upstream. */
+        private static final double LEAST = 4;
         /**
          * So many attempts in time are taken for granted. Danger: a sidecar with little traffic sees a few
          * attempts in two aims, and two late ones among them, by chance, would have it shed a third.
@@ -1074,7 +1072,7 @@
 
         /** A sidecar just started begins with twice its part, since most will find upstreams sound. */
         private double window() {
-            double least = Math.max(LEAST, EACH * roster.ready.size() / settings.replicas());
+            double least = LEAST * Math.max(1, (double) roster.ready.size() / settings.replicas());
             return Math.max(window, opening ? 2 * least : least);
         }
 
