Let a test's dead upstream be dead: wait until its listener has stopped accepting

One of some ten runs of the tests failed: SidecarTest.unsafeRequestGoesOnWhenNoConnectionComesUp, with the line "9b1f book failed ATTEMPT_FAILED after 1 ms, tries [s-0 RESET 0 ms]". Java frees a listening socket only once the thread in accept() has left it, and Stub.die did not wait for that: a connection could still come up and be reset.

--- a/src/test/java/pondridge/sidecar/Stub.java
+++ b/src/test/java/pondridge/sidecar/Stub.java
@@ -32,6 +32,7 @@
     final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
+    private final Thread acceptor;
     private final Script script;
 
     Stub(Script script) {
@@ -41,7 +42,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        thread(this::accept);
+        acceptor = thread(this::accept);
     }
 
     /** An upstream that answers each request with 200 and this body. */
@@ -66,10 +67,11 @@
         return false;
     }
 
-    static void thread(Runnable work) {
+    static Thread thread(Runnable work) {
         Thread thread = new Thread(work);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
@@ -143,9 +145,14 @@
         die();
     }
 
-    /** Ends as a process does: connections break, new ones are refused. */
+    /** Ends as a process does: connections break, new ones are refused, once nobody accepts. */
     void die() throws IOException {
         server.close();
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : open) {
             socket.close();
         }
