--- a/review/2/SlowWriters.java
+++ b/review/2/SlowWriters.java
@@ -12,25 +12,28 @@
 import java.util.TreeMap;
 
 /**
- * One sidecar, three upstreams, 160 clients with short requests and, from the fourth second on, 110 clients that
- * begin at once, each with a request every 2 s that is as long as the protocol allows. With the disruption,
- * these write slowly: eight pieces, one every 0.2 s, so that each request is whole after 1.4 s. When all clients
- * have left, the sidecar gets 10 s of rest, and is then asked for {@code GET /up}.
+ * One sidecar, three upstreams, 160 clients that send 40 short requests a second together and, in a burst of 7 s,
+ * 110 clients that begin at once, each with a request every 2.5 s that is as long as the protocol allows. With the
+ * disruption, these write slowly: eight pieces, one every 0.2 s, so that each request is whole after 1.4 s. When all
+ * clients have left, the sidecar gets 10 s of rest, and is then asked for {@code GET /up}.
  */
 public final class SlowWriters implements Kit.Case {
     private static final int SHORT_CLIENTS = 160;
-    private static final int SHORT_PAUSE_MS = 1_800;
+    private static final int SHORT_PAUSE_MS = 4_000;
     private static final int LONG_CLIENTS = 110;
     private static final int LONG_BYTES = 1 << 16;
     private static final int PIECES = 8;
     private static final int PIECE_INTERVAL_MS = 200;
     /** From one request of a client with long requests to its next, whether it writes slowly or not. */
-    private static final int LONG_INTERVAL_MS = 2_000;
+    private static final int LONG_INTERVAL_MS = 2_500;
     private static final int KEYED_DEADLINE_MS = 1_200;
     private static final int ONCE_DEADLINE_MS = 2_500;
     private static final int SERVICE_MS = 10;
-    private static final long CALM_MS = 3_000;
-    private static final long LOAD_MS = 20_000;
+    private static final long CALM_MS = 4_000;
+    /** How long the clients with long requests send; the pages name bursts of 2.4 to 7.6 s. */
+    private static final long LONG_LOAD_MS = 7_000;
+    /** How long the others send from the burst's begin on. */
+    private static final long LOAD_MS = 12_000;
     private static final long REST_MS = 10_000;
     private static final int UP_TIMEOUT_MS = 3_000;
     private static final int MAX_RECORDED = 20;
@@ -63,8 +66,9 @@
         Kit.sleep(CALM_MS);
         kit.record(LONG_CLIENTS + " clients with long requests begin, "
                 + (kit.trouble() ? "and write slowly" : "and write at once"));
+        long longUntil = kit.ms() + LONG_LOAD_MS;
         for (int i = 0; i < LONG_CLIENTS; i++) {
-            clients.add(start(() -> sendLong(sidecar.port, until)));
+            clients.add(start(() -> sendLong(sidecar.port, longUntil)));
             Kit.sleep(1);
         }
         for (Thread client : clients) {
@@ -131,13 +135,13 @@
         long sent = kit.ms();
         try {
             HttpMessage answer = HttpMessage.read(new BufferedInputStream(socket.getInputStream()));
-            return answer == null ? new Client.Result(id, 0, "closed without an answer", sent, kit.ms() - sent)
+            return answer == null ? new Client.Result(id, -2, "closed without an answer", sent, kit.ms() - sent)
                     : new Client.Result(id, answer.status(), answer.text(), sent, kit.ms() - sent);
         } catch (SocketTimeoutException e) {
             return new Client.Result(id, 0, "no answer within " + (ONCE_DEADLINE_MS + Client.LATE_MS) + " ms",
                     sent, kit.ms() - sent);
         } catch (IOException e) {
-            return new Client.Result(id, 0, "closed without an answer: " + e.getMessage(), sent,
+            return new Client.Result(id, -2, "closed without an answer: " + e.getMessage(), sent,
                     kit.ms() - sent);
         }
     }
@@ -166,7 +170,7 @@
                         + result.startedMs() + " ms, has no answer: " + result.text());
             }
         }
-        kit.record(results.size() + " " + name + " requests, by status (0: no answer, -1: not connected) "
+        kit.record(results.size() + " " + name + " requests, by status (0: no answer, -1: not connected, -2: closed) "
                 + byStatus);
         return unanswered;
     }
--- a/review/common/Client.java
+++ b/review/common/Client.java
@@ -9,6 +9,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A client with one connection, which it keeps. If the sidecar closes the connection between two requests and
@@ -17,13 +19,16 @@
 public final class Client {
     /** A late answer is lost if it comes later than this after the request's time. */
     public static final int LATE_MS = 550;
+    /** Ids that a client has sent a second time itself. */
+    public static final Set<String> RESENT = ConcurrentHashMap.newKeySet();
     private static final Random RANDOM = new Random();
 
     private static final int CONNECT_TIMEOUT_MS = 2_000;
 
     /**
-     * What the client saw: a status, or 0 and the reason why there was no answer, or -1 if no connection came up,
-     * so that the sidecar can't have taken the request.
+     * What the client saw: a status, 0 if no answer came in time, -1 if no connection came up, so that the
+     * sidecar can't have taken the request, or -2 if the connection was closed without an answer. The last is not
+     * judged: the pages excuse a close on a request that has not been read, and a client can't see whether it was.
      */
     public record Result(String id, int status, String text, long startedMs, long ms) { }
 
@@ -59,7 +64,8 @@
         System.arraycopy(body, 0, request, head.length, body.length);
         boolean reused = socket != null;
         Result result = attempt(id, request, deadlineMs);
-        if (result.status == 0 && reused && result.text.startsWith("closed")) {
+        if (result.status == -2 && reused) {
+            RESENT.add(id);
             result = attempt(id, request, deadlineMs);
         }
         return result;
@@ -92,7 +98,7 @@
                     kit.ms() - began);
         } catch (IOException e) {
             close();
-            return new Result(id, 0, "closed without an answer: " + e.getMessage(), began, kit.ms() - began);
+            return new Result(id, -2, "closed without an answer: " + e.getMessage(), began, kit.ms() - began);
         }
     }
 
--- a/review/common/Kit.java
+++ b/review/common/Kit.java
@@ -46,7 +46,9 @@
     private final PrintWriter record;
     private final Path folder;
     private final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    /** Also guards {@link #ending}, so that no sidecar is started once they are ended. */
     private final List<Sidecar> sidecars = new ArrayList<>();
+    private boolean ending;
 
     private Kit(Path caseFolder) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
@@ -94,6 +96,7 @@
     private void endSidecars() {
         List<Sidecar> started;
         synchronized (sidecars) {
+            ending = true;
             started = List.copyOf(sidecars);
         }
         for (Sidecar sidecar : started) {
@@ -105,6 +108,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+            sidecar.guard.destroyForcibly();
         }
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
@@ -172,8 +176,12 @@
                 "TMPDIR", temporary.toString()));
         sidecar.log = folder.resolve(name + ".log");
         builder.redirectErrorStream(true).redirectOutput(sidecar.log.toFile());
-        sidecar.process = builder.start();
         synchronized (sidecars) {
+            if (ending) {
+                throw new CannotRun("ended");
+            }
+            sidecar.process = builder.start();
+            sidecar.guard = startGuard(sidecar.process.pid());
             sidecars.add(sidecar);
         }
         sidecar.awaitReady();
@@ -181,11 +189,22 @@
         return sidecar;
     }
 
+    /**
+     * Starts a process that ends a sidecar and deletes the temporary folder if this JVM is killed: it waits for the
+     * end of its standard input, which this JVM holds open.
+     */
+    private Process startGuard(long sidecar) throws IOException {
+        return new ProcessBuilder("/bin/sh", "-c", "read line; kill -9 \"$1\" 2>/dev/null; rm -rf \"$2\"", "sh",
+                Long.toString(sidecar), folder.toString()).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+    }
+
     /** A sidecar process. */
     public final class Sidecar {
         public final String name;
         public final int port;
         public Process process;
+        private Process guard;
         private Path log;
 
         private Sidecar(String name, int port) {
--- a/review/common/Settings.java
+++ b/review/common/Settings.java
@@ -1,6 +1,6 @@
 package review;
 
-/** The settings of the site tvm-billing, with classes and a connect timeout of the case's own. */
+/** Rules and limits of the site tvm-billing, with one tenant, one model and no messages between sidecars. */
 public final class Settings {
     private Settings() { }
 
