Show the heap and direct memory in use in the state line

A sidecar that slow writers had hung could not be told from one that had run out of heap: the state line showed neither. It now ends its first part with "memory: heap 5 of 77 MB, direct 68 KiB", from the JVM and from the allocator that the sockets are read with.

--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -192,8 +192,8 @@
         long now = now();
         System.err.println("state: " + pendingRequestCount() + " requests open, "
                 + upstreamClient.connectionCount() + " connections to upstreams, stalls up to "
-                + stallEstimator.estimateNanos(now) / 1_000_000 + " ms; guard: " + guard + "; "
-                + balancer.describeState(now));
+                + stallEstimator.estimateNanos(now) / 1_000_000 + " ms; memory: " + ProcessMemory.describe()
+                + "; guard: " + guard + "; " + balancer.describeState(now));
     }
 
     LifecycleGuard guard() {
