Count what connections, requests and responses hold, and limit it

What callers saw: 197 of 566 short requests of other clients and 214 of 220 long ones without an answer, and none to GET /up 10 s after all had left.

Cause: each socket read takes a direct buffer of up to 64 KiB, and the aggregator kept the pieces of a body as slices of these, so that 8 KiB held 64 KiB until the request was whole. Nothing counted them. At 16 MB each further read of any connection sleeps up to 0.5 s in the JDK and fails, on the event loop; the timers that would free buffers wait behind.

Evidence: four stacks of the loop in 3 s, all in Bits.reserveMemory, Thread.sleep, below a socket's read; direct memory 68 KiB in the last state line and "allocated:, limit:" in the log after it; heap 5 to 9 of 77 MB.

Change: MemoryBudget counts what every connection, request and response holds, from its first byte to the last use: unfinished heads and bodies, queued requests, requests with attempts in flight, responses under way and not yet written. The limit is half of the heap, or less under a low memory_mb; the deploy file's sizes are unchanged. Received bytes are copied out of the read buffer at once, and the buffer is released. A request without room is refused in its turn, a response without room waits in its socket; up to 4 KiB always pass, so that /up and ordinary clients go on. Timers of queued requests end with them. The 8 MB limit on the bodies of queued requests is part of the budget now.

Why it works: direct memory now holds the read under way only, and the heap follows a count that is checked before it grows.

MemoryLimitTest, MemoryBudgetTest and UpstreamClientTest check the budget's limit and that all is released. The start of deployed processes moved from DeployedIT to DeployedProcess, with the same checks.

--- a/src/main/java/pondridge/sidecar/ClientConnection.java
+++ b/src/main/java/pondridge/sidecar/ClientConnection.java
@@ -4,17 +4,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,10 +19,10 @@
  * others wait in a queue. The connection is read all the time, so that a close by the client is noticed: no
  * request is started for a client that has disconnected.
  *
- * <p>All methods run on the event loop. An exception closes the connection. Unless it is an I/O error or the
- * client has closed the connection in the middle of a request, it is also reported to the guard.
+ * <p>All methods run on the event loop. An exception closes the connection. Unless it is an I/O error, it is
+ * also reported to the guard.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest>
+final class ClientConnection extends SimpleChannelInboundHandler<ReceivedRequest>
         implements RequestDispatcher.ClientCallback {
     /** From connecting to the end of the first request, and from the first byte of a later one to its end. */
     static final long REQUEST_READ_TIMEOUT_MS = 2_200;
@@ -43,21 +40,13 @@
      */
     private static final long MIN_STALL_NANOS = 10_000_000;
 
-    /**
-     * A request that waits for the ones before it.
-     *
-     * @param message null if there was no memory for its body: the request is refused in its turn
-     * @param receivedAt the earliest time at which it may have arrived, of {@link System#nanoTime}
-     */
-    private record QueuedRequest(FullHttpRequest message, long receivedAt) { }
-
     private final Frontend frontend;
     private final RequestDispatcher dispatcher;
     private final Channel channel;
     private final RequestDecoder decoder;
     private final boolean overLimit;
     private final long acceptDelayNanos;
-    private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>(1);
+    private final RequestQueue queue;
     /**
      * Whether a request has been started, or is about to be, and has no response yet. Stays true after the
      * last response, so that no further request is started.
@@ -98,6 +87,7 @@
         this.decoder = decoder;
         this.overLimit = overLimit;
         this.acceptDelayNanos = acceptDelayNanos;
+        this.queue = new RequestQueue(channel, this::abortRequestsBefore);
     }
 
     /** Netty calls this once the channel is registered with the event loop. */
@@ -172,35 +162,34 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+    protected void channelRead0(ChannelHandlerContext context, ReceivedRequest request) {
         requestsRead++;
         // A request in the first read may have arrived before the connection was accepted.
         long now = System.nanoTime();
         long unreadNanos = frontend.loopMonitor().maxUnreadNanos(now);
         long waitedNanos = Math.max(firstReadComplete ? 0 : acceptDelayNanos,
                 unreadNanos < MIN_STALL_NANOS ? 0 : unreadNanos);
-        if (!requestInProgress && queue.isEmpty() && channel.isWritable()) {
+        if (disconnected) {
+            request.memory().close();
+        } else if (!requestInProgress && queue.isEmpty() && channel.isWritable()) {
             // Started once all that has arrived is read: the client's close may follow the request.
             requestInProgress = true;
-            message.retain();
-            channel.eventLoop().execute(() -> startAndRelease(message, waitedNanos));
+            channel.eventLoop().execute(() -> start(request, waitedNanos));
         } else if (queue.size() >= MAX_QUEUED_REQUESTS) {
+            request.memory().close();
             close();
         } else {
-            enqueue(message, now - waitedNanos);
+            enqueue(request, now - waitedNanos);
         }
     }
 
     /** Queues a request, and limits the time of those before it, so that it gets a response in time. */
-    private void enqueue(FullHttpRequest message, long receivedAt) {
-        boolean reserved = frontend.reserveQueuedBytes(size(message));
-        queue.add(new QueuedRequest(reserved ? message.retain() : null, receivedAt));
-        long timeoutMs = RequestParser.timeoutMs(message);
-        if (timeoutMs >= 0) {
-            long position = requestsRead;
-            long abortAt = receivedAt + (timeoutMs - RESPONSE_MARGIN_MS) * 1_000_000;
-            channel.eventLoop().schedule(() -> abortRequestsBefore(position),
-                    Math.max(0, abortAt - System.nanoTime()), TimeUnit.NANOSECONDS);
+    private void enqueue(ReceivedRequest request, long receivedAt) {
+        long timeoutMs = RequestParser.timeoutMs(request.head());
+        long abortAt = timeoutMs < 0 ? Long.MAX_VALUE
+                : receivedAt + (timeoutMs - RESPONSE_MARGIN_MS) * 1_000_000;
+        if (!queue.add(request, requestsRead, receivedAt, abortAt)) {
+            dispatcher.refusedForCapacity(request.head().headers());
         }
     }
 
@@ -217,10 +206,6 @@
         }
     }
 
-    private static int size(FullHttpRequest message) {
-        return message.content().readableBytes();
-    }
-
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         firstReadComplete = true;
@@ -242,7 +227,7 @@
         if (requestInProgress || disconnected || !channel.isWritable()) {
             return;
         }
-        QueuedRequest next = queue.poll();
+        RequestQueue.Entry next = queue.poll();
         if (next == null) {
             return;
         }
@@ -251,8 +236,8 @@
         channel.eventLoop().execute(() -> startQueued(next));
     }
 
-    private void startQueued(QueuedRequest next) {
-        if (next.message() == null) {
+    private void startQueued(RequestQueue.Entry next) {
+        if (next.request() == null) {
             requestsStarted++;
             requestId = 0;
             if (dispatcher.guard().mayStart(isConnected())) {
@@ -260,63 +245,67 @@
             }
             return;
         }
-        frontend.releaseQueuedBytes(size(next.message()));
-        startAndRelease(next.message(), System.nanoTime() - next.receivedAt());
+        start(next.request(), System.nanoTime() - next.receivedAt());
     }
 
-    private void startAndRelease(FullHttpRequest message, long waitedNanos) {
-        try {
-            start(message, waitedNanos);
-        } finally {
-            message.release();
-        }
-    }
-
-    private void start(FullHttpRequest message, long waitedNanos) {
+    /** Starts a request; its memory is released unless the dispatcher has taken it over. */
+    private void start(ReceivedRequest request, long waitedNanos) {
         requestInProgress = true;
         requestId = 0;
         requestsStarted++;
         cancelReadTimeout();
-        if (!dispatcher.guard().mayStart(isConnected())) {
-            return;
+        if (!dispatcher.guard().mayStart(isConnected()) || !respondOrSubmit(request, waitedNanos)) {
+            request.memory().close();
         }
-        keepAlive = HttpUtil.isKeepAlive(message);
-        if (message.decoderResult().isFailure()) {
-            respondToDecodeFailure(message.decoderResult().cause());
-            return;
+    }
+
+    /** Responds to a request or submits it to the dispatcher; returns whether it has been submitted. */
+    private boolean respondOrSubmit(ReceivedRequest request, long waitedNanos) {
+        HttpRequest head = request.head();
+        keepAlive = request.canBeFollowed() && HttpUtil.isKeepAlive(head);
+        if (request.failure() != ReceivedRequest.Failure.NONE) {
+            respondToFailure(request);
+            return false;
         }
-        String path = RequestParser.path(message);
+        String path = RequestParser.path(head);
         if (overLimit || frontend.finishing() || requestsStarted < abortBefore) {
             // Closing without a response could lose further requests that the client has already written.
-            dispatcher.refusedForCapacity(message.headers());
+            dispatcher.refusedForCapacity(head.headers());
             respond(Responses.refused(0));
         } else if (path.equals("/up")) {
             boolean up = frontend.up();
             respond(Responses.plainText(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                     ""));
         } else if (path.equals("/api") || path.startsWith("/api/")) {
-            submit(message, waitedNanos);
+            return submit(request, waitedNanos);
         } else {
             respond(Responses.plainText(HttpResponseStatus.NOT_FOUND, "no such path"));
         }
+        return false;
     }
 
-    private void respondToDecodeFailure(Throwable cause) {
-        if (cause instanceof TooLongHttpContentException) {
-            respond(Responses.plainText(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large"));
-        } else {
-            keepAlive = false;
-            respond(Responses.plainText(HttpResponseStatus.BAD_REQUEST, "malformed request"));
+    private void respondToFailure(ReceivedRequest request) {
+        if (request.lackedMemory()) {
+            dispatcher.refusedForCapacity(request.head().headers());
         }
+        respond(switch (request.failure()) {
+            case NO_MEMORY_FOR_HEAD, NO_MEMORY_FOR_BODY -> Responses.refused(0);
+            case BODY_TOO_LARGE ->
+                    Responses.plainText(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+            case EXPECTATION_UNSUPPORTED ->
+                    Responses.plainText(HttpResponseStatus.EXPECTATION_FAILED, "unsupported expectation");
+            default -> Responses.plainText(HttpResponseStatus.BAD_REQUEST, "malformed request");
+        });
     }
 
-    private void submit(FullHttpRequest message, long waitedNanos) {
+    /** Submits a request to the dispatcher; returns false if it is invalid and has been responded to. */
+    private boolean submit(ReceivedRequest request, long waitedNanos) {
         RequestDispatcher.ClientRequest clientRequest;
         try {
-            clientRequest = frontend.parser().parse(message, waitedNanos);
+            clientRequest = frontend.parser().parse(request, waitedNanos);
         } catch (IllegalArgumentException e) {
             respond(Responses.plainText(HttpResponseStatus.BAD_REQUEST, e.getMessage()));
-            return;
+            return false;
         }
         // The response may come within this call, and then another request may already have been started.
         long submitted = requestsStarted;
@@ -325,6 +314,7 @@
         if (awaitingResponse && requestsStarted == submitted) {
             requestId = id;
         }
+        return true;
     }
 
     @Override
@@ -334,7 +324,7 @@
 
     @Override
     public void onServed(RequestDispatcher.UpstreamResponse response) {
-        respond(Responses.served(response));
+        respond(Responses.served(response)).addListener(written -> response.release());
     }
 
     @Override
@@ -350,8 +340,10 @@
     /**
      * Writes a response. Only the last one announces the close of the connection: the requests that were read
      * before it get their responses, too.
+     *
+     * @return completes when the response has been written or can't be
      */
-    private void respond(FullHttpResponse response) {
+    private ChannelFuture respond(FullHttpResponse response) {
         boolean last = queue.isEmpty() && !(decoder.hasPartialRequest() && keepAlive);
         boolean keepOpen = keepAlive && !(last && (frontend.draining() || closing || overLimit));
         HttpUtil.setContentLength(response, response.content().readableBytes());
@@ -368,11 +360,12 @@
             closing = true;
             channel.config().setAutoRead(false);
             written.addListener(done -> close());
-            return;
+            return written;
         }
         requestInProgress = false;
         written.addListener(done -> unwrittenResponses--);
         startNext();
+        return written;
     }
 
     @Override
@@ -380,12 +373,6 @@
         disconnected = true;
         frontend.closed(this);
         cancelReadTimeout();
-        for (QueuedRequest queued : queue) {
-            if (queued.message() != null) {
-                frontend.releaseQueuedBytes(size(queued.message()));
-                queued.message().release();
-            }
-        }
         queue.clear();
         if (requestId != 0) {
             if (closing) {
@@ -397,8 +384,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        boolean closedMidRequest = cause instanceof PrematureChannelClosureException;
-        if (!closedMidRequest && !(cause instanceof IOException)) {
+        if (!(cause instanceof IOException)) {
             dispatcher.guard().report("frontend", cause);
         }
         channel.close();
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -22,13 +22,15 @@
  *
  * @param seed seeds the balancer's random numbers
  * @param maxSockets how many sockets the sidecar may have open
+ * @param maxMemoryMb how much memory the process may use
  * @param cachedList the upstream list to use until discovery has sent one
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int maxSockets,
-        PeerMessenger.Addresses peers, DiscoveryClient.UpstreamList cachedList,
+        int maxMemoryMb, PeerMessenger.Addresses peers, DiscoveryClient.UpstreamList cachedList,
         SettingsReader settingsReader) {
     static final ObjectMapper JSON = new ObjectMapper();
     private static final int MIN_SOCKETS = 64;
+    private static final int DEFAULT_MAX_MEMORY_MB = 192;
 
     /** Reads the configuration from a JSON file. */
     static Config read(Path file) throws IOException {
@@ -53,11 +55,16 @@
         if (maxSockets < MIN_SOCKETS) {
             throw new IllegalArgumentException("below the minimum: limits.sockets");
         }
+        int maxMemoryMb = root.path("limits").path("memory_mb").asInt(DEFAULT_MAX_MEMORY_MB);
+        if (maxMemoryMb <= 0) {
+            throw new IllegalArgumentException("not positive: limits.memory_mb");
+        }
         DiscoveryClient.UpstreamList cachedList = root.has("known")
                 ? DiscoveryClient.UpstreamList.of(root.get("known"))
                 : DiscoveryClient.UpstreamList.NONE;
         return new Config(root.path("name").asText("sidecar"), address(root, "listen"),
-                address(root, "discovery"), seed(root), maxSockets, peers(root), cachedList, settingsReader);
+                address(root, "discovery"), seed(root), maxSockets,
+                maxMemoryMb, peers(root), cachedList, settingsReader);
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
@@ -17,8 +18,11 @@
 final class Frontend implements Acceptor.Listener {
     /** The protocol permits closing a connection that has been idle for 2 s, which makes room for another. */
     private static final long MIN_IDLE_BEFORE_CLOSE_NANOS = 2_000_000_000;
-    /** Limit for the bodies of requests queued behind others of their connection, over all connections. */
-    private static final int MAX_QUEUED_BYTES = 8 << 20;
+    /**
+     * A connection with this many bytes of responses unwritten starts no further request, so that a client
+     * that does not read holds little memory.
+     */
+    private static final WriteBufferWaterMark UNWRITTEN_BYTES = new WriteBufferWaterMark(2 << 10, 4 << 10);
     /**
      * One eighth more connections than the limit are accepted, and each request on them is refused with a
      * response. Connections beyond that are closed without one.
@@ -30,8 +34,6 @@
     private final RequestParser parser;
     private final int maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    /** Total size of the bodies of queued requests. */
-    private int queuedBytes;
     private boolean ready;
     private boolean draining;
     private boolean finishing;
@@ -67,11 +69,14 @@
         if (connections.size() >= maxConnections + maxConnections / OVER_LIMIT_DIVISOR) {
             return false;
         }
-        RequestDecoder decoder = new RequestDecoder();
+        MemoryBudget memoryBudget = dispatcher.memoryBudget();
+        RequestDecoder decoder = new RequestDecoder(memoryBudget);
         ClientConnection connection = new ClientConnection(this, dispatcher, channel, decoder,
                 connections.size() >= maxConnections,
                 Math.max(failingNanos, loopMonitor.maxUnreadNanos(System.nanoTime())));
-        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new RequestAggregator(), connection);
+        channel.config().setWriteBufferWaterMark(UNWRITTEN_BYTES);
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new RequestAggregator(memoryBudget),
+                connection);
         return true;
     }
 
@@ -103,20 +108,6 @@
         ready = true;
     }
 
-    /** Reserves memory for the body of a queued request; false if that would exceed the limit. */
-    boolean reserveQueuedBytes(int bytes) {
-        if (queuedBytes + bytes > MAX_QUEUED_BYTES) {
-            return false;
-        }
-        queuedBytes += bytes;
-        return true;
-    }
-
-    /** Releases what {@link #reserveQueuedBytes} has reserved. */
-    void releaseQueuedBytes(int bytes) {
-        queuedBytes -= bytes;
-    }
-
     /** Called by each connection that has been accepted. */
     void opened(ClientConnection connection) {
         connections.add(connection);
--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -56,10 +56,11 @@
      *     unaccepted, unread, or behind earlier requests on its connection
      * @param timeoutMs how long the client waits for the response, counted from its send
      * @param costHint estimated work in nanoseconds; 0 if unknown
+     * @param memory what the request holds
      */
     record ClientRequest(int classIndex, int tenant, long key, long waitedNanos, long timeoutMs,
             long costHint, boolean clientRetry, HttpMethod method, String uri, HttpHeaders headers,
-            byte[] body) {
+            byte[] body, MemoryBudget.Account memory) {
         String id() {
             return headers.get("Req-Id");
         }
@@ -69,8 +70,24 @@
         }
     }
 
-    /** An upstream's response with status 200. */
-    record UpstreamResponse(HttpHeaders headers, byte[] body) { }
+    /**
+     * An upstream's response with status 200. Who receives it releases it after use.
+     *
+     * @param memory what the response holds
+     */
+    record UpstreamResponse(HttpHeaders headers, byte[] body, MemoryBudget.Account memory) {
+        /** Releases the memory; may be called more than once. */
+        void release() {
+            memory.close();
+        }
+
+        /** Releases a response, if there is one. */
+        static void releaseIfPresent(UpstreamResponse response) {
+            if (response != null) {
+                response.release();
+            }
+        }
+    }
 
     /**
      * The client of one or more requests. For each request at most one of the {@code on} methods is called,
@@ -80,7 +97,7 @@
         /** Whether the client is still connected. */
         boolean isConnected();
 
-        /** An upstream has served the request. */
+        /** An upstream has served the request. The client releases the response. */
         void onServed(UpstreamResponse response);
 
         /**
@@ -124,6 +141,7 @@
     }
 
     private final EventLoop loop;
+    private final MemoryBudget memoryBudget;
     private final Balancer balancer;
     private final StallEstimator stallEstimator = new StallEstimator();
     private final LifecycleGuard guard;
@@ -154,13 +172,15 @@
     RequestDispatcher(EventLoop loop, Config config, int maxPendingRequests) {
         Balancer.Settings settings = config.settingsReader().settings();
         this.loop = loop;
+        this.memoryBudget = MemoryBudget.of(Runtime.getRuntime().maxMemory(), config.maxMemoryMb(), loop);
         this.guard = new LifecycleGuard(loop);
         this.classes = settings.classes();
         this.balancer = new Rules(settings, config.seed(), this);
         this.maxAttempts = settings.capabilities().maxAttempts();
         this.maxPendingRequests = maxPendingRequests;
         this.automaticDiscovery = settings.discovery() == Balancer.DiscoveryMode.AUTOMATIC;
-        this.upstreamClient = new UpstreamClient(loop, config.settingsReader(), config.maxSockets() / 2);
+        this.upstreamClient = new UpstreamClient(loop, config.settingsReader(), config.maxSockets() / 2,
+                memoryBudget);
         this.discoveryClient = new DiscoveryClient(loop, config.discovery(), config.cachedList(),
                 this::onListUpdate);
         this.peerMessenger = new PeerMessenger(config.peers(), (from, message) ->
@@ -192,14 +212,20 @@
         long now = now();
         System.err.println("state: " + pendingRequestCount() + " requests open, "
                 + upstreamClient.connectionCount() + " connections to upstreams, stalls up to "
-                + stallEstimator.estimateNanos(now) / 1_000_000 + " ms; memory: " + ProcessMemory.describe()
-                + "; guard: " + guard + "; " + balancer.describeState(now));
+                + stallEstimator.estimateNanos(now) / 1_000_000 + " ms; memory: "
+                + ProcessMemory.describe() + ", " + memoryBudget + "; guard: "
+                + guard + "; " + balancer.describeState(now));
     }
 
     LifecycleGuard guard() {
         return guard;
     }
 
+    /** Counts what all connections, requests and responses hold. */
+    MemoryBudget memoryBudget() {
+        return memoryBudget;
+    }
+
     /** Switches to another address of the discovery service, after a reload of the configuration. */
     void setDiscoveryAddress(InetSocketAddress address) {
         discoveryClient.changeAddress(address);
@@ -286,12 +312,14 @@
     }
 
     /**
-     * Submits a request. The client may get its final response before this method returns.
+     * Submits a request. The client may get its final response before this method returns. The request's
+     * memory is released when the request has ended and none of its attempts is in flight.
      *
      * @return the request's id for {@link #clientDisconnected} and {@link #abort}; 0 if it has been refused
      */
     long submit(ClientRequest clientRequest, ClientCallback client) {
         if (pendingRequests.size() >= maxPendingRequests) {
+            clientRequest.memory().close();
             refusedForCapacity(clientRequest.headers());
             client.onRefused(0);
             return 0;
@@ -299,6 +327,7 @@
         long clientTimeout = Math.max(1, clientRequest.timeoutMs() * 1_000_000 - RESPONSE_MARGIN_NANOS);
         long timeLeft = clientTimeout - clientRequest.waitedNanos();
         if (timeLeft <= 0) {
+            clientRequest.memory().close();
             failedRequestLog.add(now(), () -> FailedRequestLog.line(clientRequest.id(),
                     clientRequest.className(), "refused", "WAITED_TOO_LONG", clientRequest.waitedNanos(),
                     List.of()));
@@ -413,6 +442,7 @@
     private void removeIfComplete(long id, PendingRequest pending) {
         if (pending.finished && pending.attemptsInFlight == 0) {
             pendingRequests.remove(id);
+            pending.clientRequest.memory().close();
         }
     }
 
@@ -470,6 +500,7 @@
             if (pending.attemptLog.get(attemptIndex).hasEnded()) {
                 guard.report(LifecycleGuard.Violation.ENDED_TWICE,
                         pending.clientRequest.id() + " " + outcome);
+                UpstreamResponse.releaseIfPresent(response);
                 return;
             }
             pending.attemptsInFlight--;
@@ -477,6 +508,8 @@
             pending.mayHaveRun |= !outcome.provesNeverRan();
             if (outcome == Outcome.OK && !pending.finished) {
                 finish(id, pending, () -> pending.client.onServed(response));
+            } else {
+                UpstreamResponse.releaseIfPresent(response);
             }
             balancer.attemptEnded(now, id, attemptIndex, upstream, outcome, now - sentAt, pending.finished,
                     loadReport);
@@ -518,8 +551,10 @@
     @Override
     public void probe(long upstream) {
         long sentAt = now();
-        upstreamClient.probe(upstream, (outcome, response, loadReport) -> deliver(now ->
-                balancer.probeResult(now, upstream, outcome, now - sentAt, loadReport)));
+        upstreamClient.probe(upstream, (outcome, response, loadReport) -> {
+            UpstreamResponse.releaseIfPresent(response);
+            deliver(now -> balancer.probeResult(now, upstream, outcome, now - sentAt, loadReport));
+        });
     }
 
     @Override
--- a/src/main/java/pondridge/sidecar/RequestParser.java
+++ b/src/main/java/pondridge/sidecar/RequestParser.java
@@ -1,8 +1,7 @@
 package pondridge.sidecar;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.List;
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Semantics;
@@ -29,7 +28,7 @@
     }
 
     /** The path of the request's URI, without the query. */
-    static String path(FullHttpRequest message) {
+    static String path(HttpRequest message) {
         String uri = message.uri();
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
@@ -42,7 +41,8 @@
      *     earlier requests on its connection. The client's timeout has run meanwhile.
      * @throws IllegalArgumentException if a header is missing or invalid; the client gets its message
      */
-    RequestDispatcher.ClientRequest parse(FullHttpRequest message, long waitedNanos) {
+    RequestDispatcher.ClientRequest parse(ReceivedRequest request, long waitedNanos) {
+        HttpRequest message = request.head();
         header(message, "Req-Id");
         int classIndex = classNames.indexOf(header(message, "Req-Kind"));
         if (classIndex < 0) {
@@ -65,11 +65,11 @@
         long costHint = hasCostHint ? number(message, "Req-Cost") * NANOS_PER_MICRO : 0;
         return new RequestDispatcher.ClientRequest(classIndex, tenant, key(path(message)), waitedNanos,
                 number(message, "Req-Deadline-Ms"), costHint, "1".equals(message.headers().get("Req-Retry")),
-                method, message.uri(), message.headers(), ByteBufUtil.getBytes(message.content()));
+                method, message.uri(), message.headers(), request.body(), request.memory());
     }
 
     /** How long the client waits from sending the request, in milliseconds; -1 without a valid header. */
-    static long timeoutMs(FullHttpRequest message) {
+    static long timeoutMs(HttpRequest message) {
         try {
             return number(message, "Req-Deadline-Ms");
         } catch (IllegalArgumentException e) {
@@ -77,7 +77,7 @@
         }
     }
 
-    private static String header(FullHttpRequest message, String name) {
+    private static String header(HttpRequest message, String name) {
         String value = message.headers().get(name);
         if (value == null || value.isEmpty()) {
             throw new IllegalArgumentException("missing " + name);
@@ -86,7 +86,7 @@
     }
 
     /** The value of a header that must be a whole number, not negative and of at most nine digits. */
-    private static long number(FullHttpRequest message, String name) {
+    private static long number(HttpRequest message, String name) {
         String value = header(message, name);
         boolean allDigits = value.chars().allMatch(digit -> digit >= '0' && digit <= '9');
         if (value.length() > MAX_NUMBER_DIGITS || !allDigits) {
--- a/src/main/java/pondridge/sidecar/ResponseDecoder.java
+++ b/src/main/java/pondridge/sidecar/ResponseDecoder.java
@@ -1,17 +1,70 @@
 package pondridge.sidecar;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
 
 /**
- * Decodes upstreams' responses. Netty ends a header's name at the first blank, and therefore accepts a line
- * without a colon as a header without a value. This decoder rejects such a response as malformed.
+ * Decodes upstreams' responses, on the event loop. Netty ends a header's name at the first blank, and
+ * therefore accepts a line without a colon as a header without a value. This decoder rejects such a response
+ * as malformed. Each response comes as a {@link Head} with an account for its memory.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    /** The head of a response. Its receiver closes the account. */
+    static final class Head extends DefaultHttpResponse {
+        private final MemoryBudget.Account memory;
+
+        private Head(HttpResponse response, MemoryBudget.Account memory) {
+            super(response.protocolVersion(), response.status(), response.headers());
+            this.memory = memory;
+        }
+
+        MemoryBudget.Account memory() {
+            return memory;
+        }
+    }
+
+    private final MemoryBudget budget;
+    private DecoderMemory memory;
+
+    ResponseDecoder(MemoryBudget budget) {
+        this.budget = budget;
+        setCumulator(DecoderMemory.COPYING_CUMULATOR);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        memory = new DecoderMemory(budget);
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
+        memory.close();
+        super.handlerRemoved0(context);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        DecoderMemory.decodePieces((ByteBuf) message, piece -> super.channelRead(context, piece));
+        memory.setUndecodedBytes(internalBuffer().capacity());
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        Head head = new Head((HttpResponse) super.createMessage(initialLine), budget.openResponse());
+        memory.messageBegun(head.memory());
+        return head;
+    }
 
     /** Called for each header line that continues after the name, so that there is at least one more byte. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        memory.headerDecoded();
         int next = start + length;
         while (line[next] == ' ' || line[next] == '\t') {
             next++;
@@ -21,4 +74,11 @@
         }
         return super.splitHeaderName(line, start, length);
     }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
+        int readableBytes = bytes.readableBytes();
+        super.decode(context, bytes, out);
+        memory.decoded(readableBytes - bytes.readableBytes(), out);
+    }
 }
--- a/src/main/java/pondridge/sidecar/UpstreamClient.java
+++ b/src/main/java/pondridge/sidecar/UpstreamClient.java
@@ -2,18 +2,16 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -39,8 +37,6 @@
  * <p>Used on the event loop only. Failures reach the caller as outcomes, never as exceptions.
  */
 final class UpstreamClient {
-    /** Bodies have at most 64 KiB. A longer response is an error, so that it can't exhaust the memory. */
-    private static final int MAX_RESPONSE_BYTES = 1 << 16;
     private static final long PROBE_TIMEOUT_NANOS = 250_000_000;
     /**
      * A connection is reused only after being idle this long. An upstream may send a second response to a
@@ -62,13 +58,14 @@
         /**
          * Called once, possibly before {@link UpstreamClient#send} returns.
          *
-         * @param response null unless the outcome is {@link Outcome#OK}
+         * @param response null unless the outcome is {@link Outcome#OK}; the listener releases it
          * @param loadReport empty if the upstream sent none that can be read
          */
         void onEnded(Outcome outcome, RequestDispatcher.UpstreamResponse response, float[] loadReport);
     }
 
     private final EventLoop loop;
+    private final MemoryBudget memoryBudget;
     private final Dialer dialer;
     private final long maxIdleNanos;
     private final int maxConnections;
@@ -81,8 +78,9 @@
     /** Connections that are open or being opened. */
     private int connectionCount;
 
-    UpstreamClient(EventLoop loop, SettingsReader settingsReader, int maxConnections) {
-        this(loop, settingsReader, maxConnections, MIN_IDLE_BEFORE_REUSE_MS * 1_000_000);
+    UpstreamClient(EventLoop loop, SettingsReader settingsReader, int maxConnections,
+            MemoryBudget memoryBudget) {
+        this(loop, settingsReader, maxConnections, memoryBudget, MIN_IDLE_BEFORE_REUSE_MS * 1_000_000);
     }
 
     /**
@@ -91,8 +89,10 @@
      * @param minIdleNanos how long a connection has to be idle before it is reused; 0 suffices for
      *     upstreams that send no surplus responses
      */
-    UpstreamClient(EventLoop loop, SettingsReader settingsReader, int maxConnections, long minIdleNanos) {
+    UpstreamClient(EventLoop loop, SettingsReader settingsReader, int maxConnections,
+            MemoryBudget memoryBudget, long minIdleNanos) {
         this.loop = loop;
+        this.memoryBudget = memoryBudget;
         this.minIdleNanos = minIdleNanos;
         int connectTimeoutMs = Math.max(1, (int) (settingsReader.number("caps.connectTimeout", 1e9) / 1e6));
         this.dialer = new Dialer(loop, connectTimeoutMs);
@@ -327,7 +327,7 @@
     }
 
     /** A connection, counted in {@link #connectionCount} from the start of connecting until it closes. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse>
+    private final class Connection extends SimpleChannelInboundHandler<ReceivedResponse>
             implements Dialer.Listener {
         private final Pool pool;
         private Dialer.Dial dial;
@@ -357,8 +357,8 @@
         public void onConnected(Channel opened) {
             channel = opened;
             channel.closeFuture().addListener(future -> releaseSlot());
-            channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
-                    new HttpObjectAggregator(MAX_RESPONSE_BYTES), this);
+            channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(memoryBudget),
+                    new ResponseAggregator(memoryBudget), this);
             write(currentAttempt);
         }
 
@@ -409,28 +409,37 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+        protected void channelRead0(ChannelHandlerContext context, ReceivedResponse response) {
+            if (!endsAttempt(response)) {
+                response.memory().close();
+            }
+        }
+
+        /** Has a response end the current attempt; returns whether the response is passed to its listener. */
+        private boolean endsAttempt(ReceivedResponse response) {
             Attempt attempt = currentAttempt;
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;
+            HttpResponse head = response.head();
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return false;
             }
-            if (attempt == null || attempt.ended || response.decoderResult().isFailure()) {
+            if (attempt == null || attempt.ended || response.isMalformed()) {
                 if (attempt != null) {
                     attempt.end(Outcome.ERROR);
                 }
                 close();
-                return;
+                return false;
             }
             currentAttempt = null;
-            if (!HttpUtil.isKeepAlive(response) || !attempt.written) {
+            if (!HttpUtil.isKeepAlive(head) || !attempt.written) {
                 close();
             }
-            Outcome outcome = outcome(response);
-            RequestDispatcher.UpstreamResponse upstreamResponse = outcome == Outcome.OK
-                    ? new RequestDispatcher.UpstreamResponse(response.headers(),
-                            ByteBufUtil.getBytes(response.content())) : null;
+            Outcome outcome = outcome(head);
+            RequestDispatcher.UpstreamResponse upstreamResponse = outcome != Outcome.OK ? null
+                    : new RequestDispatcher.UpstreamResponse(head.headers(), response.body(),
+                            response.memory());
             float[] loadReport = parseLoadReport(response, isLoadProbe);
             deferredEnd = () -> attempt.end(outcome, upstreamResponse, loadReport);
+            return upstreamResponse != null;
         }
 
         /**
@@ -481,7 +490,7 @@
         }
     }
 
-    private static Outcome outcome(FullHttpResponse response) {
+    private static Outcome outcome(HttpResponse response) {
         return switch (response.status().code()) {
             case 200 -> Outcome.OK;
             case 503, 504 -> "1".equals(response.headers().get("Srv-Declined")) ? Outcome.REJECTED
@@ -491,10 +500,10 @@
     }
 
     /** The load report in the order of the settings' fields; empty if there is none that can be read. */
-    private float[] parseLoadReport(FullHttpResponse response, boolean probe) {
-        String text = response.headers().get("Srv-Load");
+    private float[] parseLoadReport(ReceivedResponse response, boolean probe) {
+        String text = response.head().headers().get("Srv-Load");
         if (text == null && probe) {
-            text = response.content().toString(StandardCharsets.UTF_8);
+            text = new String(response.body(), StandardCharsets.UTF_8);
         }
         if (text == null || reportFields.isEmpty()) {
             return NO_LOAD_REPORT;
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -30,6 +30,8 @@
     private static final long REQUEST_TIMEOUT_NANOS = 1_000_000_000;
     /** On a busy CPU, a sidecar that is not warmed up is better than one that becomes ready too late. */
     private static final long MAX_DURATION_NANOS = 3_000_000_000L;
+    /** Room for the frontend's responses to made-up requests, of which there is one at a time. */
+    private static final long MAX_MEMORY_BYTES = 1 << 20;
     /** Time between two made-up requests on the clock that the separate balancer is given. */
     private static final long REQUEST_INTERVAL_NANOS = 10_000_000;
 
@@ -53,7 +55,8 @@
      */
     static void run(EventLoop loop, SettingsReader settingsReader, InetSocketAddress frontend,
             Runnable onDone, Consumer<Throwable> onFailure) {
-        UpstreamClient frontendClient = new UpstreamClient(loop, settingsReader, 1, 0);
+        UpstreamClient frontendClient = new UpstreamClient(loop, settingsReader, 1,
+                new MemoryBudget(MAX_MEMORY_BYTES, loop), 0);
         WarmUp warmUp = new WarmUp(frontendClient, onDone, onFailure);
         loop.schedule(warmUp::finish, MAX_DURATION_NANOS, TimeUnit.NANOSECONDS);
         warmUp.runStep(() -> {
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -5,10 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,58 +20,26 @@
  * the deploy file.
  */
 class DeployedIT {
-    private static final String UP_REQUEST = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
-
     @TempDir
     private Path directory;
-    private Process process;
+    private DeployedProcess deployed;
 
     @AfterEach
     void killProcess() {
-        if (process != null) {
-            process.destroyForcibly();
+        if (deployed != null) {
+            deployed.close();
         }
     }
 
     private void start(String commandKey, ObjectNode config) throws IOException {
-        String tomlLine = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(candidate -> candidate.startsWith(commandKey + " = \"")).findFirst().orElseThrow();
-        String command = tomlLine.substring(tomlLine.indexOf('"') + 1, tomlLine.lastIndexOf('"'));
-        Path file = Files.writeString(directory.resolve("config.json"), config.toString());
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
-        builder.environment().put("PROXY_CONFIG", file.toString());
-        process = builder.start();
-    }
-
-    private int awaitExit() throws InterruptedException {
-        assertTrue(process.waitFor(FakeUpstream.TIMEOUT_S, TimeUnit.SECONDS), "still running");
-        return process.exitValue();
-    }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
-    }
-
-    private void awaitUp(InetSocketAddress address) throws Exception {
-        while (true) {
-            try (SidecarHarness.Client client = new SidecarHarness.Client(address)) {
-                if (client.exchange(UP_REQUEST).status() == 200) {
-                    return;
-                }
-            } catch (ConnectException e) {
-                assertTrue(process.isAlive(), "exited before it listened");
-            }
-            Thread.sleep(20);
-        }
+        deployed = new DeployedProcess(commandKey, config, directory);
     }
 
     @Test
     void simStartsAndExitsAtTheEndOfItsInput() throws Exception {
         start("sim", SidecarHarness.configJson());
-        process.getOutputStream().close();
-        assertEquals(0, awaitExit());
+        deployed.process.getOutputStream().close();
+        assertEquals(0, deployed.awaitExit());
     }
 
     /** At SIGTERM, open requests still get their responses, and then the process exits with status 0. */
@@ -89,20 +54,20 @@
                 return false;
             }
         })) {
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
             start("run", SidecarHarness.configJson(upstream).put("listen", "127.0.0.1:" + address.getPort()));
-            awaitUp(address);
+            deployed.awaitUp(address);
             try (SidecarHarness.Client client = new SidecarHarness.Client(address);
                     SidecarHarness.Client otherClient = new SidecarHarness.Client(address)) {
                 FakeUpstream.write(client.socket, SidecarHarness.safeRequest("a"));
                 FakeUpstream.next(upstream.heads);
-                assertEquals(200, otherClient.exchange(UP_REQUEST).status());
-                process.destroy();
+                assertEquals(200, otherClient.exchange(DeployedProcess.UP_REQUEST).status());
+                deployed.process.destroy();
                 // The shutdown has begun once /up has another status on an open connection, or it is closed.
                 int status = 200;
                 while (status == 200) {
                     try {
-                        status = otherClient.exchange(UP_REQUEST).status();
+                        status = otherClient.exchange(DeployedProcess.UP_REQUEST).status();
                     } catch (IOException e) {
                         status = 0;
                     }
@@ -110,7 +75,7 @@
                 respond.countDown();
                 assertEquals("held", client.readResponse().body());
             }
-            assertEquals(0, awaitExit());
+            assertEquals(0, deployed.awaitExit());
         }
     }
 
@@ -124,21 +89,21 @@
         try (FakeUpstream upstream = FakeUpstream.serving("x");
                 FakeUpstream oldDiscovery = new FakeUpstream(openWatch);
                 FakeUpstream newDiscovery = new FakeUpstream(openWatch)) {
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
             ObjectNode json = SidecarHarness.configJson(upstream)
                     .put("listen", "127.0.0.1:" + address.getPort())
                     .put("discovery", oldDiscovery.endpoint());
             start("run", json);
-            awaitUp(address);
+            deployed.awaitUp(address);
             assertTrue(FakeUpstream.next(oldDiscovery.heads).contains("watch=1&from=41 "));
-            Path file = directory.resolve("config.json");
+            Path file = deployed.configFile;
             Files.writeString(file, "{");
-            sendSighup();
-            String logLine = process.errorReader().lines()
+            deployed.sendSighup();
+            String logLine = deployed.process.errorReader().lines()
                     .filter(candidate -> candidate.contains("configuration")).findFirst().orElseThrow();
             assertTrue(logLine.contains("the last one holds"), logLine);
             Files.writeString(file, json.put("discovery", newDiscovery.endpoint()).toString());
-            sendSighup();
+            deployed.sendSighup();
             assertTrue(FakeUpstream.next(newDiscovery.heads).contains("watch=1&from=41 "));
             FakeUpstream.next(oldDiscovery.disconnects);
             try (SidecarHarness.Client client = new SidecarHarness.Client(address)) {
@@ -147,17 +112,14 @@
         }
     }
 
-    private void sendSighup() throws Exception {
-        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
-    }
-
     @Test
     void invalidConfigurationExitsWithOneLineNamingTheKey() throws Exception {
         ObjectNode json = SidecarHarness.configJson();
         json.withObject("/settings/rules").remove("rampTime");
         start("run", json);
-        String errorOutput = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(2, awaitExit());
+        String errorOutput = new String(deployed.process.getErrorStream().readAllBytes(),
+                StandardCharsets.UTF_8);
+        assertEquals(2, deployed.awaitExit());
         assertTrue(errorOutput.contains("rules.rampTime") && errorOutput.lines().count() == 1, errorOutput);
     }
 }
--- a/src/test/java/pondridge/sidecar/RequestDispatcherTest.java
+++ b/src/test/java/pondridge/sidecar/RequestDispatcherTest.java
@@ -43,11 +43,12 @@
     @Test
     void requestWithBlockedAttemptIsRemoved() throws Exception {
         HttpHeaders headers = new DefaultHttpHeaders().add("Req-Id", "a").add("Req-Kind", "look");
-        RequestDispatcher.ClientRequest clientRequest = new RequestDispatcher.ClientRequest(0, 0, 0, 0,
-                SidecarHarness.DEADLINE_MS, 0, false, HttpMethod.GET, "/api/a", headers, new byte[0]);
         DisconnectedClient client = new DisconnectedClient();
         try (FakeUpstream upstream = FakeUpstream.serving("x");
                 SidecarHarness harness = SidecarHarness.with(upstream)) {
+            RequestDispatcher.ClientRequest clientRequest = new RequestDispatcher.ClientRequest(0, 0, 0, 0,
+                    SidecarHarness.DEADLINE_MS, 0, false, HttpMethod.GET, "/api/a", headers, new byte[0],
+                    harness.dispatcher.memoryBudget().openRequest());
             harness.loop.submit(() -> harness.dispatcher.submit(clientRequest, client)).sync();
             long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
             while (harness.loop.submit(harness.dispatcher::pendingRequestCount).get() > 0
--- a/src/test/java/pondridge/sidecar/UpstreamClientTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamClientTest.java
@@ -32,6 +32,7 @@
 
 /** Sends attempts and load probes over real connections and checks their outcomes. */
 class UpstreamClientTest {
+    private static final long MEMORY_BYTES = 1 << 24;
     private static final long LONG_TIMEOUT_NANOS = 60_000_000_000L;
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -46,10 +47,15 @@
 
     private UpstreamClient newClient(InetSocketAddress address, long connectTimeoutNanos,
             int maxConnections) throws Exception {
+        return newClient(address, connectTimeoutNanos, maxConnections, new MemoryBudget(MEMORY_BYTES, loop));
+    }
+
+    private UpstreamClient newClient(InetSocketAddress address, long connectTimeoutNanos, int maxConnections,
+            MemoryBudget budget) throws Exception {
         SettingsReader settingsReader = new SettingsReader("caps.connectTimeout=" + connectTimeoutNanos
                 + "\ncaps.connIdle=60000000000\nreport.fields=rate,q");
         return loop.submit(() -> {
-            UpstreamClient client = new UpstreamClient(loop, settingsReader, maxConnections);
+            UpstreamClient client = new UpstreamClient(loop, settingsReader, maxConnections, budget);
             client.updateUpstream(1, address, 0, true);
             return client;
         }).get();
@@ -82,6 +88,35 @@
         }
     }
 
+    /** Responses under way were not counted; now those without room stay in their sockets until there is. */
+    @Test
+    void responsesBeyondTheBudgetWaitForRoom() throws Exception {
+        int count = 60;
+        String body = "r".repeat(1 << 16);
+        MemoryBudget budget = new MemoryBudget(1 << 20, loop);
+        BlockingQueue<RequestDispatcher.UpstreamResponse> responses = new LinkedBlockingQueue<>();
+        try (FakeUpstream upstream = FakeUpstream.serving(body)) {
+            UpstreamClient upstreamClient =
+                    newClient(upstream.address(), LONG_TIMEOUT_NANOS, count, budget);
+            for (int i = 0; i < count; i++) {
+                loop.execute(() -> upstreamClient.send(1, get("/api/x"), LONG_TIMEOUT_NANOS,
+                        (outcome, response, loadReport) -> responses.add(response)));
+            }
+            for (int i = 0; i < count; i++) {
+                RequestDispatcher.UpstreamResponse response = FakeUpstream.next(responses);
+                assertEquals(body, new String(response.body(), StandardCharsets.ISO_8859_1));
+                long held = loop.submit(budget::used).get();
+                // Beyond the limit are the connections and, of each waiting response, what one read brought.
+                assertTrue(held <= budget.limit() + count * (80L << 10), () -> "held: " + budget);
+                loop.submit(response::release).sync();
+            }
+            assertTrue(!budget.toString().contains(" 0 waited"), () -> "none had to wait: " + budget);
+        }
+        while (loop.submit(budget::used).get() > 0) {
+            Thread.sleep(5);
+        }
+    }
+
     /** Every upstream can be reached, even if there are more of them than connections allowed. */
     @Test
     void idleConnectionsAreClosedWhenTheLimitIsReached() throws Exception {
