Cancel the timer for a request's deadline when the request has ended

The memory budget counted a request until it had ended and its attempts were over, but the timer that would have ended it at its deadline kept the request, its headers and its body until then (seconds to minutes, as the client says). So the count was lower than what was held.

Why it works: Netty removes a cancelled timer from its queue, and nothing else refers to the ended request.

--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -122,6 +123,7 @@
         private final List<UpstreamClient.Attempt> attempts = new ArrayList<>(1);
         private final List<FailedRequestLog.AttemptLogEntry> attemptLog = new ArrayList<>(1);
         private long submittedAt;
+        private Future<?> overdueTimer;
         private int attemptsInFlight;
         /** Whether the final response has been given or the client has disconnected. */
         private boolean finished;
@@ -345,8 +347,8 @@
                 timeLeft / STALL_RESERVE_DIVISOR);
         loop.execute(() -> stallEstimator.stallEnded(now(), now() - pending.submittedAt));
         // The balancer responds by the deadline. This timer finishes requests to which it has not responded.
-        loop.schedule(() -> abort(id, pending, "OVERDUE"), timeLeft - reserve + RESPONSE_MARGIN_NANOS / 2,
-                TimeUnit.NANOSECONDS);
+        pending.overdueTimer = loop.schedule(() -> abort(id, pending, "OVERDUE"),
+                timeLeft - reserve + RESPONSE_MARGIN_NANOS / 2, TimeUnit.NANOSECONDS);
         deliver(now -> {
             pending.deadline = now + timeLeft - reserve;
             // The balancer identifies client retries by a time left that differs from the usual one of the
@@ -429,6 +431,7 @@
             return;
         }
         pending.finished = true;
+        pending.overdueTimer.cancel(false);
         long elapsed = now() - pending.submittedAt + pending.clientRequest.waitedNanos();
         guard.checkResponseTime(elapsed - pending.clientRequest.timeoutMs() * 1_000_000,
                 pending.clientRequest.id());
