Judge attempts by when the sidecar sent them, recorded inside its process

On a busy host the testbed reported deadlines told too long and attempts after a request's end that were its own: it timed an attempt where the stub upstream read it, behind the proxy and threads.

A soak's attempt was read 177 ms after it was sent.

- The preloaded library records the time of each request's first bytes as they are written, and of each read that finds a client's connection ended, in a file of bounded size.
RecordedTimes matches these with the attempts; one without a time breaks RECORDED.
DEADLINE_HONEST, NOT_FORWARDED_AFTER_END, SLOW_START and also DRAIN use them; bounds are unchanged.
- A client's close counts from when it has returned or the sidecar has read it, whichever is earlier.
- Reports show how long the testbed stalled, what the host took, and how late attempts were read.

Traced with the new records: reads of sidecar 1 fail with EINTR for 279 ms, it sends nothing for 309 ms, and the time for which requests were unread then is not deducted.

--- a/src/main/c/fault_shim.c
+++ b/src/main/c/fault_shim.c
@@ -6,11 +6,16 @@
  * both map. A slot makes one type of call fail between two times of CLOCK_MONOTONIC, with a given number of
  * failures per thousand calls; the library counts the calls that it changed. FAULT_SEED seeds the random
  * choice of those calls. Without a control file every call passes through unchanged.
+ *
+ * The environment variable FAULT_TRACE names a file in which the library records when the process writes the
+ * first bytes of each request to an upstream, and when it reads the end of each accepted connection. The file is
+ * created by pondridge.testbed.SidecarTrace, has room for a fixed number of records, and counts all of them.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdint.h>
@@ -46,6 +51,30 @@
     int64_t injected;     /* calls changed so far */
 };
 
+/* The trace file's kinds of records; SidecarTrace reads them. */
+enum record_kind { RECORD_NONE, RECORD_REQUEST_SENT, RECORD_CONNECTION_ENDED };
+
+#define REQUEST_ID_BYTES 112
+#define MAX_DESCRIPTORS 65536
+
+/* One record of the trace file; SidecarTrace reads it at the same offsets. */
+struct record {
+    int64_t at_ns;
+    int32_t kind;                       /* written last: RECORD_NONE until the record is complete */
+    int32_t port;                       /* of the request's own socket, or of the accepted connection's peer */
+    char request_id[REQUEST_ID_BYTES];  /* ends with a zero; empty unless a request was sent */
+};
+
+struct trace {
+    int64_t capacity;
+    int64_t count;      /* how many records there were, which may be more than the capacity */
+    struct record records[];
+};
+
+static struct trace *trace;
+/* The peer's port of each accepted connection, by descriptor; 0 for all other descriptors. */
+static uint16_t peer_ports[MAX_DESCRIPTORS];
+
 static struct slot *control;
 static __thread uint64_t random_state;
 
@@ -73,6 +102,24 @@
     }
 }
 
+__attribute__((constructor)) static void map_trace(void) {
+    const char *path = getenv("FAULT_TRACE");
+    if (path == NULL) {
+        return;
+    }
+    REAL(open)
+    int fd = real_open(path, O_RDWR | O_CLOEXEC);
+    struct stat status;
+    if (fd < 0 || fstat(fd, &status) != 0) {
+        return;
+    }
+    void *mapped = mmap(NULL, status.st_size, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    if (mapped != MAP_FAILED) {
+        trace = mapped;
+    }
+}
+
 static int64_t monotonic_ns(void) {
     REAL(clock_gettime)
     struct timespec now;
@@ -80,6 +127,77 @@
     return now.tv_sec * NANOS_PER_SECOND + now.tv_nsec;
 }
 
+static void add_record(enum record_kind kind, int64_t at_ns, int port, const char *id, size_t id_length) {
+    int64_t index = __atomic_fetch_add(&trace->count, 1, __ATOMIC_RELAXED);
+    if (index >= trace->capacity) {
+        return;
+    }
+    struct record *record = &trace->records[index];
+    record->at_ns = at_ns;
+    record->port = port;
+    memcpy(record->request_id, id, id_length < REQUEST_ID_BYTES ? id_length : REQUEST_ID_BYTES - 1);
+    __atomic_store_n(&record->kind, kind, __ATOMIC_RELEASE);
+}
+
+static int local_port(int fd) {
+    struct sockaddr_in address;
+    socklen_t length = sizeof address;
+    return getsockname(fd, (struct sockaddr *) &address, &length) == 0 ? ntohs(address.sin_port) : 0;
+}
+
+static int starts_with(const char *text, size_t length, const char *start) {
+    size_t start_length = strlen(start);
+    return length >= start_length && memcmp(text, start, start_length) == 0;
+}
+
+/* The time, if these bytes begin a request that is to be recorded, else 0. */
+static int64_t request_time(const char *text, size_t length) {
+    int is_request = trace != NULL && text != NULL
+            && (starts_with(text, length, "GET /api") || starts_with(text, length, "POST /api"));
+    return is_request ? monotonic_ns() : 0;
+}
+
+/* Records a request whose first bytes have been written, unless it has no id. */
+static void record_request(int fd, int64_t at_ns, const char *text, size_t length) {
+    static const char header[] = "\r\nReq-Id: ";
+    const char *id = memmem(text, length, header, sizeof header - 1);
+    if (id == NULL) {
+        return;
+    }
+    id += sizeof header - 1;
+    const char *end = memchr(id, '\r', length - (id - text));
+    if (end != NULL) {
+        add_record(RECORD_REQUEST_SENT, at_ns, local_port(fd), id, end - id);
+    }
+}
+
+/* Remembers the peer of an accepted connection. */
+static int accepted(int fd, const struct sockaddr *address) {
+    if (trace != NULL && fd >= 0 && fd < MAX_DESCRIPTORS) {
+        struct sockaddr_in peer = {0};
+        socklen_t length = sizeof peer;
+        if (address != NULL) {
+            memcpy(&peer, address, sizeof peer);
+        } else if (getpeername(fd, (struct sockaddr *) &peer, &length) != 0) {
+            peer.sin_port = 0;
+        }
+        peer_ports[fd] = ntohs(peer.sin_port);
+    }
+    return fd;
+}
+
+/* Records the end of an accepted connection, if this is the result of the read that found it. */
+static ssize_t record_end(int fd, ssize_t result) {
+    int ended = result == 0 || (result < 0 && errno == ECONNRESET);
+    if (trace != NULL && ended && fd < MAX_DESCRIPTORS && peer_ports[fd] != 0) {
+        int error = errno;
+        add_record(RECORD_CONNECTION_ENDED, monotonic_ns(), peer_ports[fd], "", 0);
+        peer_ports[fd] = 0;
+        errno = error;
+    }
+    return result;
+}
+
 static uint64_t next_random(void) {
     if (random_state == 0) {
         const char *seed = getenv("FAULT_SEED");
@@ -135,12 +253,14 @@
 
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
     REAL(accept)
-    return inject(FAULT_ACCEPT) ? fail_with_error(FAULT_ACCEPT) : real_accept(fd, address, length);
+    return inject(FAULT_ACCEPT) ? fail_with_error(FAULT_ACCEPT)
+            : accepted(real_accept(fd, address, length), address);
 }
 
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
     REAL(accept4)
-    return inject(FAULT_ACCEPT) ? fail_with_error(FAULT_ACCEPT) : real_accept4(fd, address, length, flags);
+    return inject(FAULT_ACCEPT) ? fail_with_error(FAULT_ACCEPT)
+            : accepted(real_accept4(fd, address, length, flags), address);
 }
 
 int socket(int domain, int type, int protocol) {
@@ -177,7 +297,7 @@
     if (control != NULL && is_stream(fd) && inject(FAULT_READ)) {
         return fail_with_error(FAULT_READ);
     }
-    return real_read(fd, buffer, shortened_length(FAULT_SHORT_READ, fd, length));
+    return record_end(fd, real_read(fd, buffer, shortened_length(FAULT_SHORT_READ, fd, length)));
 }
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
@@ -185,7 +305,7 @@
     if (control != NULL && is_stream(fd) && inject(FAULT_READ)) {
         return fail_with_error(FAULT_READ);
     }
-    return real_recv(fd, buffer, shortened_length(FAULT_SHORT_READ, fd, length), flags);
+    return record_end(fd, real_recv(fd, buffer, shortened_length(FAULT_SHORT_READ, fd, length), flags));
 }
 
 ssize_t recvfrom(int fd, void *buffer, size_t length, int flags, struct sockaddr *from, socklen_t *from_length) {
@@ -208,7 +328,12 @@
         if (inject(FAULT_WRITE)) {
             return fail_with_error(FAULT_WRITE);
         }
-        return real_write(fd, buffer, shortened_length(FAULT_SHORT_WRITE, fd, length));
+        int64_t at_ns = request_time(buffer, length);
+        ssize_t written = real_write(fd, buffer, shortened_length(FAULT_SHORT_WRITE, fd, length));
+        if (at_ns != 0 && written > 0) {
+            record_request(fd, at_ns, buffer, length);
+        }
+        return written;
     }
     if (length == sizeof(uint64_t) && socket_type(fd) == 0 && inject(FAULT_EVENT_WRITE)) {
         return fail_with_error(FAULT_EVENT_WRITE);
@@ -225,12 +350,15 @@
         return fail_with_error(FAULT_WRITE);
     }
     size_t length = count == 0 ? 0 : parts[0].iov_len;
+    const char *text = count == 0 ? NULL : parts[0].iov_base;
+    int64_t at_ns = request_time(text, length);
     size_t shortened = shortened_length(FAULT_SHORT_WRITE, fd, length);
-    if (shortened < length) {
-        struct iovec first = {parts[0].iov_base, shortened};
-        return real_writev(fd, &first, 1);
+    struct iovec first = {(void *) text, shortened};
+    ssize_t written = shortened < length ? real_writev(fd, &first, 1) : real_writev(fd, parts, count);
+    if (at_ns != 0 && written > 0) {
+        record_request(fd, at_ns, text, length);
     }
-    return real_writev(fd, parts, count);
+    return written;
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
--- a/src/main/java/pondridge/testbed/FaultProxy.java
+++ b/src/main/java/pondridge/testbed/FaultProxy.java
@@ -9,21 +9,21 @@
 
 /**
  * A TCP proxy in front of one upstream. It can reset connections, delay responses and split them into small
- * fragments. Requests are forwarded without delay, so that the upstream records the time at which the sidecar
- * sent them.
+ * fragments. Requests are forwarded without delay. It tells the upstream from which port of the sidecar each
+ * connection comes, by which an attempt is found in the {@link SidecarTrace}.
  */
 final class FaultProxy implements AutoCloseable {
     private static final int BUFFER_BYTES = 8_192;
     private static final int FRAGMENT_BYTES = 50;
     private static final long POLL_INTERVAL_MS = 2;
 
-    private final int upstreamPort;
+    private final StubUpstream stub;
     private final LoopbackServer server;
     private volatile long delayedUntilNanos;
     private volatile long fragmentedUntilNanos;
 
-    FaultProxy(String name, int upstreamPort) throws IOException {
-        this.upstreamPort = upstreamPort;
+    FaultProxy(String name, StubUpstream stub) throws IOException {
+        this.stub = stub;
         this.server = new LoopbackServer(name, this::serve);
     }
 
@@ -50,9 +50,10 @@
     }
 
     private void serve(Socket sidecar) throws IOException {
-        try (Socket upstream = new Socket(InetAddress.getLoopbackAddress(), upstreamPort)) {
+        try (Socket upstream = new Socket(InetAddress.getLoopbackAddress(), stub.port())) {
             upstream.setTcpNoDelay(true);
-            LoopbackServer.startThread("proxy-responses", () -> forwardResponses(upstream, sidecar));
+            stub.connectionProxied(upstream.getLocalPort(), sidecar.getPort());
+            LoopbackServer.runOnConnectionThread(() -> forwardResponses(upstream, sidecar));
             copy(sidecar.getInputStream(), upstream.getOutputStream());
         } catch (IOException e) {
             LoopbackServer.reset(sidecar);
--- a/src/main/java/pondridge/testbed/Fleet.java
+++ b/src/main/java/pondridge/testbed/Fleet.java
@@ -21,6 +21,7 @@
     private final SidecarSettings settings;
     private final long seed;
     private final RunHistory history = new RunHistory();
+    private final HostLoad hostLoad = new HostLoad();
     private final StubDiscovery discovery = new StubDiscovery();
     private final List<StubUpstream> upstreams = new ArrayList<>();
     private final List<FaultProxy> proxies = new ArrayList<>();
@@ -49,7 +50,7 @@
         for (int i = 0; i < upstreamCount; i++) {
             StubUpstream upstream = new StubUpstream("s-" + i, history, seed);
             upstreams.add(upstream);
-            proxies.add(new FaultProxy("proxy-" + i, upstream.port()));
+            proxies.add(new FaultProxy("proxy-" + i, upstream));
             updateListEntry(i, "SERVING", 0);
         }
         for (int i = 0; i < sidecarCount; i++) {
@@ -67,6 +68,17 @@
         return history;
     }
 
+    /** What was recorded in the sidecars so far, matched with the attempts in the history. */
+    RecordedTimes recordedTimes() {
+        return new RecordedTimes(history, sidecars.stream()
+                .map(sidecar -> sidecar.trace().recording(sidecar.number())).toList());
+    }
+
+    /** How much the machine has held up the testbed since the fleet was created, for the report. */
+    String describeDelays() {
+        return hostLoad.describe() + "; " + recordedTimes().describeDelays();
+    }
+
     StubDiscovery discovery() {
         return discovery;
     }
@@ -107,7 +119,7 @@
     private void warmUp() throws IOException {
         RunHistory discarded = new RunHistory();
         try (StubUpstream upstream = new StubUpstream("warm-up", discarded, seed);
-                FaultProxy proxy = new FaultProxy("warm-up", upstream.port())) {
+                FaultProxy proxy = new FaultProxy("warm-up", upstream)) {
             LoadGenerator generator = new LoadGenerator(0, proxy.address(), settings, discarded,
                     clientThreads, "warm-up", LoadGenerator.ClientMix.MIXED);
             generator.start(WARM_UP_EXCHANGES_PER_SECOND);
@@ -187,5 +199,6 @@
             upstream.close();
         }
         discovery.close();
+        hostLoad.close();
     }
 }
--- a/src/main/java/pondridge/testbed/HttpConnection.java
+++ b/src/main/java/pondridge/testbed/HttpConnection.java
@@ -28,6 +28,11 @@
         }
     }
 
+    /** The client's port. */
+    int localPort() {
+        return socket.getLocalPort();
+    }
+
     /** Whether this connection has completed an exchange. */
     boolean isReused() {
         return completedExchanges > 0;
--- a/src/main/java/pondridge/testbed/Invariant.java
+++ b/src/main/java/pondridge/testbed/Invariant.java
@@ -31,6 +31,8 @@
      * killed, and its open requests violate ANSWERED or NOT_CLOSED_UPON.
      */
     ALIVE,
+    /** The library in each sidecar recorded when it sent each attempt; otherwise the run proves nothing. */
+    RECORDED,
     /** The sidecar's own self-check reports no violation. */
     SELF_CHECK,
     /** No file descriptor, connection or request entry is kept for requests that have ended. */
--- a/src/main/java/pondridge/testbed/InvariantChecker.java
+++ b/src/main/java/pondridge/testbed/InvariantChecker.java
@@ -26,26 +26,31 @@
     private final List<SidecarProcess> sidecars;
     private final SidecarSettings settings;
     private final boolean idleClients;
+    private final RecordedTimes times;
     private final List<Violation> violations = new ArrayList<>();
 
-    private InvariantChecker(RunHistory history, List<SidecarProcess> sidecars, SidecarSettings settings,
-            boolean idleClients) {
+    private InvariantChecker(RunHistory history, List<SidecarProcess> sidecars, RecordedTimes times,
+            SidecarSettings settings, boolean idleClients) {
         this.history = history;
         this.settings = settings;
         this.sidecars = sidecars;
         this.idleClients = idleClients;
+        this.times = times;
     }
 
     /**
      * Returns all violations, in no particular order.
      *
+     * @param times when the sidecars sent the attempts
      * @param idleClients whether idle clients used up file descriptors; a sidecar may then close a
      *     connection without reading the request
      */
-    static List<Violation> check(RunHistory history, List<SidecarProcess> sidecars, SidecarSettings settings,
-            boolean idleClients) {
-        InvariantChecker checker = new InvariantChecker(history, sidecars, settings, idleClients);
+    static List<Violation> check(RunHistory history, List<SidecarProcess> sidecars, RecordedTimes times,
+            SidecarSettings settings, boolean idleClients) {
+        InvariantChecker checker =
+                new InvariantChecker(history, sidecars, times, settings, idleClients);
         checker.violations.addAll(history.observedViolations());
+        checker.violations.addAll(checker.times.violations());
         history.requests().forEach(checker::checkRequest);
         checker.checkListEvents();
         return checker.violations;
@@ -112,12 +117,13 @@
 
     private void checkAttempt(RequestRecord request, AttemptRecord attempt) {
         boolean hasEnded = request.endedAt != 0 && request.end != End.NOT_TAKEN;
-        long lateMs = (attempt.firstByteAt() - request.endedAt) / NANOS_PER_MS;
+        long sentAt = times.sentAt(attempt);
+        long lateMs = (sentAt - times.endedAt(request)) / NANOS_PER_MS;
         if (hasEnded && lateMs > MAX_DELAY_AFTER_END_MS + SOCKET_SLACK_MS) {
             addViolation(Invariant.NOT_FORWARDED_AFTER_END,
                     request + ", " + lateMs + " ms later: " + attempt);
         }
-        long remainingMs = request.deadlineMs - (attempt.firstByteAt() - request.sentAt) / NANOS_PER_MS;
+        long remainingMs = request.deadlineMs - (sentAt - request.sentAt) / NANOS_PER_MS;
         if (request.sentAt != 0 && attempt.toldMs() > remainingMs + DEADLINE_SLACK_MS) {
             addViolation(Invariant.DEADLINE_HONEST, request + ", left " + remainingMs + " ms: " + attempt);
         }
@@ -158,9 +164,10 @@
         }
         long from = event.toldAt() + (SidecarSettings.DRAIN_GRACE_MS + SOCKET_SLACK_MS) * NANOS_PER_MS;
         for (AttemptRecord attempt : sent) {
-            if (attempt.firstByteAt() > from && attempt.firstByteAt() < until) {
+            long sentAt = times.sentAt(attempt);
+            if (sentAt > from && sentAt < until) {
                 addViolation(Invariant.DRAIN, event + ", "
-                        + (attempt.firstByteAt() - event.toldAt()) / NANOS_PER_MS + " ms later: " + attempt);
+                        + (sentAt - event.toldAt()) / NANOS_PER_MS + " ms later: " + attempt);
             }
         }
     }
@@ -173,11 +180,11 @@
     private void checkSlowStart(ListEvent event, List<AttemptRecord> sent) {
         double medianPerMs = medianRatePerMs();
         long rampEnd = event.happenedAt() + SidecarSettings.RAMP_MS * NANOS_PER_MS;
-        long[] times = sent.stream().mapToLong(AttemptRecord::lastByteAt)
+        long[] sendTimes = sent.stream().mapToLong(times::sentAt)
                 .filter(at -> at > event.toldAt() && at < rampEnd).sorted().toArray();
-        for (long start : times) {
+        for (long start : sendTimes) {
             long end = start + SidecarSettings.OVERLOAD_WINDOW_MS * NANOS_PER_MS;
-            long count = Arrays.stream(times).filter(at -> at >= start && at < end).count();
+            long count = Arrays.stream(sendTimes).filter(at -> at >= start && at < end).count();
             double rampProgress =
                     Math.min(1, (end - event.happenedAt()) / (double) (rampEnd - event.happenedAt()));
             if (count <= slowStartBudget(medianPerMs, rampProgress)) {
@@ -196,7 +203,8 @@
     private double maxOtherRatePerMs(String upstream, long start, long end) {
         Map<String, Integer> counts = new HashMap<>();
         for (AttemptRecord attempt : history.attempts()) {
-            boolean inWindow = attempt.lastByteAt() >= start && attempt.lastByteAt() < end;
+            long sentAt = times.sentAt(attempt);
+            boolean inWindow = sentAt >= start && sentAt < end;
             if (inWindow && !attempt.upstream().equals(upstream)) {
                 counts.merge(attempt.upstream(), 1, Integer::sum);
             }
@@ -228,7 +236,7 @@
     private double medianRatePerMs() {
         List<AttemptRecord> all = history.attempts();
         Map<Long, Integer> bySecond = new HashMap<>();
-        all.forEach(attempt -> bySecond.merge(attempt.lastByteAt() / NANOS_PER_SECOND, 1, Integer::sum));
+        all.forEach(attempt -> bySecond.merge(times.sentAt(attempt) / NANOS_PER_SECOND, 1, Integer::sum));
         int[] counts = bySecond.values().stream().mapToInt(Integer::intValue).sorted().toArray();
         long upstreams = all.stream().map(AttemptRecord::upstream).distinct().count();
         return counts.length == 0 ? 0 : counts[counts.length / 2] / 1_000.0 / upstreams;
--- a/src/main/java/pondridge/testbed/LoadGenerator.java
+++ b/src/main/java/pondridge/testbed/LoadGenerator.java
@@ -189,6 +189,7 @@
             return reused;
         }
         request.sentAt = System.nanoTime();
+        request.clientPort = connection.localPort();
         if (behaviour == ClientBehaviour.DISCONNECTS || behaviour == ClientBehaviour.RESETS) {
             disconnect(request, behaviour == ClientBehaviour.RESETS, disconnectAfterMs, connection);
             return false;
@@ -211,6 +212,7 @@
         } else {
             closeQuietly(connection);
         }
+        request.closedAt = System.nanoTime();
     }
 
     /** Waits for the response, records its details, and returns how the request ended. */
@@ -277,6 +279,7 @@
         }
         long now = System.nanoTime();
         requests.forEach(each -> each.sentAt = now);
+        requests.forEach(each -> each.clientPort = connection.localPort());
         boolean disconnects = behaviour == ClientBehaviour.PIPELINES_AND_DISCONNECTS;
         int responseCount = disconnects ? random.nextInt(count) : count;
         readResponses(requests, responseCount, connection);
@@ -285,6 +288,8 @@
                     .forEach(each -> each.end(End.LEFT, "ran ahead"));
         }
         closeQuietly(connection);
+        long closedAt = System.nanoTime();
+        requests.forEach(each -> each.closedAt = closedAt);
     }
 
     private void readResponses(List<RequestRecord> requests, int responseCount, HttpConnection connection) {
--- a/src/main/java/pondridge/testbed/LoopbackServer.java
+++ b/src/main/java/pondridge/testbed/LoopbackServer.java
@@ -8,6 +8,8 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 
 /**
  * A server on a port of the loopback address that handles each connection on a thread of its own. It can stop
@@ -24,6 +26,10 @@
         void handle(Socket connection) throws IOException;
     }
 
+    /** Threads are used again: starting one for each connection takes long on a busy machine. */
+    private static final ExecutorService CONNECTION_THREADS = Executors.newCachedThreadPool(
+            work -> daemonThread("testbed-connection", work));
+
     private final String name;
     private final ConnectionHandler handler;
     private final Set<Socket> openConnections = ConcurrentHashMap.newKeySet();
@@ -58,12 +64,24 @@
 
     /** Starts a daemon thread. */
     static Thread startThread(String name, Runnable work) {
+        Thread thread = daemonThread(name, work);
+        thread.start();
+        return thread;
+    }
+
+    private static Thread daemonThread(String name, Runnable work) {
         Thread thread = new Thread(null, work, name, THREAD_STACK_BYTES);
         thread.setDaemon(true);
-        thread.start();
         return thread;
     }
 
+    /**
+     * Runs short work, such as that of one connection, on a thread of its own that may have been used before.
+     */
+    static void runOnConnectionThread(Runnable work) {
+        CONNECTION_THREADS.execute(work);
+    }
+
     int port() {
         return port;
     }
@@ -78,7 +96,7 @@
                 Socket socket = listening.accept();
                 socket.setTcpNoDelay(true);
                 openConnections.add(socket);
-                startThread(name + "-connection", () -> serve(socket));
+                runOnConnectionThread(() -> serve(socket));
             } catch (IOException e) {
                 // The server was stopped, or the connection ended before it was accepted.
             }
--- a/src/main/java/pondridge/testbed/RequestRecord.java
+++ b/src/main/java/pondridge/testbed/RequestRecord.java
@@ -34,6 +34,10 @@
     /** When the whole request had been written. */
     volatile long sentAt;
     volatile long endedAt;
+    /** For a client that left: when the close of its connection had returned. */
+    volatile long closedAt;
+    /** The client's port on the connection that the request was last sent on. */
+    volatile int clientPort;
     volatile End end = End.OPEN;
     /** The attempt number in the body that was served, or -1 if there is none for this request. */
     volatile long servedAttempt = -1;
--- a/src/main/java/pondridge/testbed/RunHistory.java
+++ b/src/main/java/pondridge/testbed/RunHistory.java
@@ -60,6 +60,11 @@
         listEvents.add(new ListEvent(upstream, state, now, toldAt));
     }
 
+    /** Adds a change of the list whose times are known. */
+    void add(ListEvent event) {
+        listEvents.add(event);
+    }
+
     /** Records that the watches that are open now send nothing any more. */
     void watchesSilenced() {
         postponeUpdates(System.nanoTime() + MAX_UPDATE_DELAY_AFTER_SILENCE_NANOS);
--- a/src/main/java/pondridge/testbed/SidecarProcess.java
+++ b/src/main/java/pondridge/testbed/SidecarProcess.java
@@ -68,8 +68,10 @@
     private final LogDestination log;
     private final int descriptors;
     private final FaultControl faults;
+    private final SidecarTrace trace;
     private final InetSocketAddress address;
     private final List<ProcessLifetime> lifetimes = new CopyOnWriteArrayList<>();
+    private String command;
     private volatile Process process;
 
     SidecarProcess(int number, Path folder, LogDestination log, int descriptors) throws IOException {
@@ -79,6 +81,8 @@
         this.descriptors = descriptors;
         Files.createDirectories(folder);
         this.faults = new FaultControl(folder.resolve("faults"));
+        this.trace = new SidecarTrace(folder.resolve("trace"));
+        this.command = deployedCommand();
         this.address = new InetSocketAddress(InetAddress.getLoopbackAddress(), Ports.findFree());
     }
 
@@ -86,6 +90,11 @@
         return number;
     }
 
+    /** Starts another program from now on, in place of the deployed sidecar. */
+    void useCommand(String other) {
+        command = other;
+    }
+
     InetSocketAddress address() {
         return address;
     }
@@ -98,6 +107,11 @@
         return faults;
     }
 
+    /** What all processes of this sidecar have sent and read so far. */
+    SidecarTrace trace() {
+        return trace;
+    }
+
     List<ProcessLifetime> lifetimes() {
         return lifetimes;
     }
@@ -128,11 +142,12 @@
     void start() throws IOException {
         String descriptorLimit = "ulimit -n " + descriptors + "; ";
         String setup = log == LogDestination.FULL_PIPE ? descriptorLimit + FILL_PIPE : descriptorLimit;
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", setup + deployedCommand());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", setup + command);
         builder.redirectErrorStream(true);
         Map<String, String> environment = builder.environment();
         environment.put("PROXY_CONFIG", configurationFile().toString());
         environment.put("FAULT_CONTROL", faults.file().toString());
+        environment.put("FAULT_TRACE", trace.file().toString());
         environment.put("FAULT_SEED", Integer.toString(number + 1));
         environment.put("LD_PRELOAD", faultLibrary().toString());
         switch (log) {
--- a/src/main/java/pondridge/testbed/Soak.java
+++ b/src/main/java/pondridge/testbed/Soak.java
@@ -125,8 +125,9 @@
 
     private SoakReport report(Fleet fleet, List<ResourceUsage> usages) throws IOException {
         List<Violation> violations = InvariantChecker.check(fleet.history(), fleet.sidecars(),
-                plan.settings(), plan.idleClients());
-        SoakReport report = new SoakReport(plan, fleet.history(), violations);
+                fleet.recordedTimes(), plan.settings(), plan.idleClients());
+        SoakReport report = new SoakReport(plan, fleet.history(), violations,
+                fleet.describeDelays());
         for (SidecarProcess sidecar : fleet.sidecars()) {
             report.add(sidecar, usages.get(sidecar.number()));
         }
--- a/src/main/java/pondridge/testbed/SoakReport.java
+++ b/src/main/java/pondridge/testbed/SoakReport.java
@@ -27,10 +27,15 @@
     private final Histogram latencyMs = new Histogram(MAX_LATENCY_MS, 3);
     /** One line for each sidecar. */
     private final List<String> resources = new ArrayList<>();
+    private final String delays;
     private int attempts;
 
-    SoakReport(SoakPlan plan, RunHistory history, List<Violation> violations) {
+    /**
+     * @param delays how much the machine held up the testbed, see {@link Fleet#describeDelays}
+     */
+    SoakReport(SoakPlan plan, RunHistory history, List<Violation> violations, String delays) {
         this.plan = plan;
+        this.delays = delays;
         this.violations = violations;
         this.attempts = history.attempts().size();
         for (RequestRecord request : history.requests()) {
@@ -72,7 +77,7 @@
         return "seed " + plan.seed() + (plan.idleClients() ? " crowded" : "") + ": " + requests()
                 + " requests " + ends + ", " + attempts + " attempts, p99 "
                 + latencyMs.getValueAtPercentile(99) + " ms, violations " + violations.size()
-                + (violations.isEmpty() ? "" : " " + countByInvariant());
+                + (violations.isEmpty() ? "" : " " + countByInvariant()) + "; " + delays;
     }
 
     private Map<Invariant, Integer> countByInvariant() {
@@ -104,6 +109,7 @@
     ObjectNode json() {
         ObjectNode root = JSON.createObjectNode().put("seed", plan.seed()).put("crowded", plan.idleClients())
                 .put("requests", requests()).put("attempts", attempts);
+        root.put("delays", delays);
         ObjectNode counts = root.putObject("ends");
         ends.forEach((end, count) -> counts.put(end.name(), count));
         ObjectNode latency = root.putObject("latencyMs");
--- a/src/main/java/pondridge/testbed/StubUpstream.java
+++ b/src/main/java/pondridge/testbed/StubUpstream.java
@@ -6,7 +6,9 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A stub HTTP upstream. It records each request that arrives in full in the {@link RunHistory} and treats it
@@ -21,6 +23,8 @@
     private final RunHistory history;
     private final long seed;
     private final LoopbackServer server;
+    /** The sidecar's port of each connection, by the proxy's port. */
+    private final Map<Integer, Integer> sidecarPorts = new ConcurrentHashMap<>();
     private volatile UpstreamBehaviour behaviour = UpstreamBehaviour.HEALTHY;
 
     StubUpstream(String uid, RunHistory history, long seed) throws IOException {
@@ -38,6 +42,11 @@
         return server.port();
     }
 
+    /** Called by the proxy for each connection that it has opened, before it forwards anything. */
+    void connectionProxied(int proxyPort, int sidecarPort) {
+        sidecarPorts.put(proxyPort, sidecarPort);
+    }
+
     void setBehaviour(UpstreamBehaviour next) {
         behaviour = next;
     }
@@ -88,7 +97,8 @@
         UpstreamBehaviour.Disposition disposition = behaviour.draw(random);
         long deadlineMs = Long.parseLong(request.headers().getOrDefault("req-deadline-ms", "-1"));
         history.add(new AttemptRecord(number, id, uid, firstByteAt, lastByteAt, deadlineMs,
-                disposition == UpstreamBehaviour.Disposition.REJECT));
+                disposition == UpstreamBehaviour.Disposition.REJECT,
+                sidecarPorts.getOrDefault(connection.getPort(), connection.getPort())));
         if (disposition != UpstreamBehaviour.Disposition.REJECT) {
             sleep(behaviour.serviceMs(random));
         }
--- a/src/test/java/pondridge/sidecar/RequestDispatcherTest.java
+++ b/src/test/java/pondridge/sidecar/RequestDispatcherTest.java
@@ -54,7 +54,9 @@
         }
     }
 
-    /** The timer for a request's deadline was never cancelled, and kept the body after the request had ended. */
+    /**
+     * The timer for a request's deadline was never cancelled, and kept the body after the request had ended.
+     */
     @Test
     void bodiesOfEndedRequestsWereKeptUntilTheirDeadlines() throws Exception {
         try (FakeUpstream upstream = FakeUpstream.serving("x");
--- a/src/test/java/pondridge/testbed/FaultInjectionIT.java
+++ b/src/test/java/pondridge/testbed/FaultInjectionIT.java
@@ -59,13 +59,15 @@
         fleet.stopLoad();
         SoakPlan plan = new SoakPlan(SEED, 1, 4, 0, EXCHANGES_PER_SECOND, SHORT_DEADLINES, 0, false,
                 List.of());
-        SoakReport report = new SoakReport(plan, fleet.history(), check(fleet));
+        SoakReport report = new SoakReport(plan, fleet.history(), check(fleet),
+                fleet.describeDelays());
         report.add(fleet.sidecars().get(0), ResourceUsage.of(fleet.sidecars().get(0)));
         return report;
     }
 
     private static List<Violation> check(Fleet fleet) {
-        return InvariantChecker.check(fleet.history(), fleet.sidecars(), fleet.settings(), false);
+        return InvariantChecker.check(fleet.history(), fleet.sidecars(), fleet.recordedTimes(),
+                fleet.settings(), false);
     }
 
     private static void expectServed(SoakReport report) {
