--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -125,7 +125,7 @@
     @Override
     public String describeState(long now) {
         String usualMs = Arrays.stream(detector.latencyEstimators)
-                .map(each -> Long.toString((long) each.mean / 1_000_000)).collect(Collectors.joining("/"));
+                .map(each -> Long.toString((long) each.mean() / 1_000_000)).collect(Collectors.joining("/"));
         String line = registry.ready.size() + " ready of " + registry.upstreams.size() + " known, "
                 + registry.warmCount(now) + " warm, " + detector.ejectedCount(now) + " shut; shedding "
                 + Math.round(100 * admission.shedProbability(now)) + "%, held " + admission.queuedCount
@@ -685,39 +685,6 @@
         }
     }
 
-    /** Expected response duration of a class in ns, linear in the hinted cost (moving least squares). */
-    private static final class LatencyEstimator {
-        private static final double MIN_WEIGHT = 0.02;  // of a response: averages over about the last 50
-        double mean;
-        private long count;
-        private double meanCost;
-        private double meanSquaredCost;
-        private double meanProduct;  // of duration and cost
-
-        LatencyEstimator(double initialMean) {
-            mean = initialMean;
-        }
-
-        void add(double measured, double costHint) {
-            // Limited to three times the expected: one slow upstream must not change what is expected.
-            double duration = Math.min(measured, 3 * expected(costHint));
-            double weight = Math.max(MIN_WEIGHT, 1.0 / ++count);
-            mean += weight * (duration - mean);
-            meanCost += weight * (costHint - meanCost);
-            meanSquaredCost += weight * (costHint * costHint - meanSquaredCost);
-            meanProduct += weight * (duration * costHint - meanProduct);
-        }
-
-        double expected(double costHint) {
-            double costVariance = meanSquaredCost - meanCost * meanCost;
-            if (costHint <= 0 || costVariance <= 0) {
-                return mean;
-            }
-            double slope = Math.max(0, (meanProduct - mean * meanCost) / costVariance);
-            return Math.max(mean / 4, mean + slope * (costHint - meanCost));
-        }
-    }
-
     /** Mean response duration of one model's upstreams, divided by the duration expected of any upstream. */
     private static final class ModelSpeed {
         private double mean = 1;
@@ -1069,7 +1036,7 @@
                         pending.latencyTarget);
             }
             LatencyEstimator estimator = detector.latencyEstimators[pending.request.classIndex()];
-            double scaledDuration = (now - attempt.sentAt) * estimator.mean / pending.expectedDuration;
+            double scaledDuration = (now - attempt.sentAt) * estimator.mean() / pending.expectedDuration;
             if (outcome == Outcome.REJECTED || scaledDuration > SLOW_TARGET_SHARE * pending.latencyTarget) {
                 if (attempt.sentAt >= upstream.limitReducedAt) {
                     upstream.concurrencyLimit = Math.max(0.1, upstream.concurrencyLimit * 0.8);
