Cancel the balancer's timers of ended requests and take refused ones out of the queue

What callers saw: a client with late deadlines fills the heap with small requests that are all served at once. Nothing came back when the clients left.

Cause: the timer for a request's deadline refers to the request and was never cancelled. Likewise a queued request that was refused stayed in the queue below newer ones, and each replaced host timer stayed in the event loop until its time.

Evidence: a histogram of live objects after 40 s: 214,362 each of PendingRequest, Request, Attempt and Timer, no request open; 1.2 MB of byte arrays, 3.6 MB held in the budget (ruled out).

Why it works: nothing refers to a request once it is finished and its attempts have their outcomes; two timers remain for at most the class's latency target, which is a setting. The stale timers also looked at the queue when they ran; requests that wait are now considered again five times per latency target.

ReplaceableTimer serves the balancer's timer and a connection's read timeout, which did the same by hand.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -291,7 +291,10 @@
         /** Cancels one attempt. */
         void cancel(long request, int attempt);
 
-        /** Requests {@link Balancer#timerFired} with this token at or after a time. */
+        /**
+         * Requests {@link Balancer#timerFired} with this token at or after a time. Replaces the timer set
+         * before, which the host may cancel or let fire.
+         */
         void setTimer(long token, long at);
 
         /** Requests the load of an upstream, see {@link Balancer#probeResult}. */
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -301,6 +301,7 @@
         final long latencyTarget;  // a duration: the class's target, scaled with the request's cost
         final long latencyTargetAt;  // time until which a response has its full value
         final List<Attempt> attempts = new ArrayList<>(2);
+        TimerQueue.Timer deadlineTimer;  // until the request is finished
         boolean finished;  // has its final response, or the client disconnected
         boolean queued;
         boolean responseBegun;  // the response has begun
@@ -338,7 +339,7 @@
             pending.expectedDuration = Math.max(pending.latencyTarget / 1000.0,
                     detector.latencyEstimators[request.classIndex()].expected(request.costHint()));
             requests.put(request.id(), pending);
-            timerQueue.schedule(pending.deadline, at -> {
+            pending.deadlineTimer = timerQueue.schedule(pending.deadline, at -> {
                 if (!pending.responseBegun) {
                     refuseOrFail(pending, FailureReason.DEADLINE);
                 }
@@ -395,7 +396,6 @@
         void send(long now, PendingRequest pending, TrackedUpstream upstream) {
             Attempt attempt = new Attempt(upstream, now);
             pending.attempts.add(attempt);
-            pending.queued = false;
             pending.probesSent = false;
             pending.probed = List.of();
             detector.attemptSent(now, upstream, pending);
@@ -473,7 +473,10 @@
                 actions.cancel(pending.request.id(), pending.attempts.size() - 1);
             }
             pending.finished = true;
-            pending.queued = false;
+            timerQueue.cancel(pending.deadlineTimer);
+            if (pending.queued) {
+                admission.removeQueued(pending);
+            }
             if (!pending.awaitsOutcome()) {
                 requests.remove(pending.request.id());
             }
@@ -885,8 +888,11 @@
         // few attempts in two latency targets, would shed a third when two of them are late by chance.
         private static final int PRIOR_IN_TIME = 4;
         private static final double SHED_IN_TIME_SHARE = 0.5;  // of shed requests, counted as in time
+        /** Budgets grow and trials become due without an event: how often the queue is checked for that. */
+        private static final int QUEUE_CHECKS_PER_TARGET = 5;
         private final TenantQueue[] tenantQueues = new TenantQueue[Math.max(1, settings.tenants().size())];
         private int queuedCount;  // over all tenants
+        private boolean queueCheckScheduled;
         private long passes;  // calls of sendQueued
         private final long[] usualTimeLeft = new long[settings.classes().size()];  // by class, in ns
         private final int[] usualTimeLeftVotes = new int[settings.classes().size()];
@@ -1007,6 +1013,15 @@
 
         /** Sends queued requests while there is capacity, from the tenant with the least relative usage. */
         void sendQueued(long now) {
+            sendUntilBlocked(now);
+            if (queuedCount > 0 && !queueCheckScheduled) {
+                queueCheckScheduled = true;
+                timerQueue.schedule(now + Math.max(1, detector.minLatencyTarget / QUEUE_CHECKS_PER_TARGET),
+                        at -> queueCheckScheduled = false);  // timerFired sends queued requests
+            }
+        }
+
+        private void sendUntilBlocked(long now) {
             passes++;
             while (queuedCount > 0) {
                 TenantQueue leastUsed = null;
@@ -1020,15 +1035,20 @@
                     return;
                 }
                 PendingRequest pending = leastUsed.queued.peek();
-                if (pending.queued && !trySend(now, pending)) {
-                    leastUsed.skippedInPass = passes;
+                if (trySend(now, pending)) {
+                    removeQueued(pending);
                 } else {
-                    leastUsed.queued.remove(pending);
-                    queuedCount--;
+                    leastUsed.skippedInPass = passes;
                 }
             }
         }
 
+        void removeQueued(PendingRequest pending) {
+            pending.queued = false;
+            tenantQueue(pending).queued.remove(pending);
+            queuedCount--;
+        }
+
         void attemptEnded(long now, Attempt attempt, Outcome outcome, PendingRequest pending) {
             TrackedUpstream upstream = attempt.upstream;
             if (outcome != Outcome.CANCELLED) {
--- a/src/main/java/pondridge/TimerQueue.java
+++ b/src/main/java/pondridge/TimerQueue.java
@@ -1,14 +1,14 @@
 package pondridge;
 
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.function.LongConsumer;
 
 /** The balancer's timers, ordered by time. Only the earliest one is set as a timer of the host. */
 final class TimerQueue {
     /** Timers with the same time run in the order in which they were scheduled. */
-    private record Timer(long at, long sequence, LongConsumer action) { }
+    record Timer(long at, long sequence, LongConsumer action) { }
 
-    private final PriorityQueue<Timer> queue = new PriorityQueue<>((a, b) ->
+    private final TreeSet<Timer> queue = new TreeSet<>((a, b) ->
             a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.sequence, b.sequence));
     private long nextSequence;
     private long hostTimerAt = Long.MAX_VALUE;  // MAX_VALUE if no host timer is set
@@ -20,14 +20,21 @@
     }
 
     /** Calls {@code action} with the current time at or after {@code at}. */
-    void schedule(long at, LongConsumer action) {
-        queue.add(new Timer(at, nextSequence++, action));
+    Timer schedule(long at, LongConsumer action) {
+        Timer timer = new Timer(at, nextSequence++, action);
+        queue.add(timer);
+        return timer;
+    }
+
+    /** Removes a timer, and with it all that its action refers to. Has no effect if the timer has run. */
+    void cancel(Timer timer) {
+        queue.remove(timer);
     }
 
     /** Sets the host timer if a timer is due before it. Called at the end of each event. */
     void armHostTimer() {
-        if (!queue.isEmpty() && queue.peek().at < hostTimerAt) {
-            hostTimerAt = queue.peek().at;
+        if (!queue.isEmpty() && queue.first().at < hostTimerAt) {
+            hostTimerAt = queue.first().at;
             actions.setTimer(++hostTimerToken, hostTimerAt);
         }
     }
@@ -40,8 +47,8 @@
         if (token == hostTimerToken) {
             hostTimerAt = Long.MAX_VALUE;
         }
-        while (!queue.isEmpty() && queue.peek().at <= now) {
-            queue.poll().action.accept(now);
+        while (!queue.isEmpty() && queue.first().at <= now) {
+            queue.pollFirst().action.accept(now);
         }
     }
 }
--- a/src/main/java/pondridge/sidecar/ClientConnection.java
+++ b/src/main/java/pondridge/sidecar/ClientConnection.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
@@ -73,7 +72,8 @@
     private boolean keepAlive = true;
     /** The dispatcher's id of the request in progress; 0 if it has none. */
     private long requestId;
-    private Future<?> readTimeout;
+    /** Null until the channel is registered with the event loop. */
+    private ReplaceableTimer readTimeout;
 
     /**
      * @param overLimit whether this connection exceeds the limit, so that its requests are refused
@@ -93,6 +93,7 @@
     /** Netty calls this once the channel is registered with the event loop. */
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
+        readTimeout = new ReplaceableTimer(channel.eventLoop());
         frontend.opened(this);
         awaitRequest(REQUEST_READ_TIMEOUT_MS);
     }
@@ -147,18 +148,9 @@
     private void awaitRequest(long timeoutMs) {
         idleSince = System.nanoTime();
         partialRequestTimed = false;
-        cancelReadTimeout();
         // After a stall of the event loop a whole request may be unread; the delay lets it be read first.
-        readTimeout = channel.eventLoop().schedule(() -> {
-            readTimeout = channel.eventLoop().schedule(this::close, FINAL_READ_DELAY_MS,
-                    TimeUnit.MILLISECONDS);
-        }, timeoutMs, TimeUnit.MILLISECONDS);
-    }
-
-    private void cancelReadTimeout() {
-        if (readTimeout != null) {
-            readTimeout.cancel(false);
-        }
+        readTimeout.set(() -> readTimeout.set(this::close, FINAL_READ_DELAY_MS, TimeUnit.MILLISECONDS),
+                timeoutMs, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -253,7 +245,7 @@
         requestInProgress = true;
         requestId = 0;
         requestsStarted++;
-        cancelReadTimeout();
+        readTimeout.cancel();
         if (!dispatcher.guard().mayStart(isConnected()) || !respondOrSubmit(request, waitedNanos)) {
             request.memory().close();
         }
@@ -372,7 +364,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         disconnected = true;
         frontend.closed(this);
-        cancelReadTimeout();
+        readTimeout.cancel();
         queue.clear();
         if (requestId != 0) {
             if (closing) {
--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -144,6 +144,7 @@
 
     private final EventLoop loop;
     private final MemoryBudget memoryBudget;
+    private final ReplaceableTimer balancerTimer;
     private final Balancer balancer;
     private final StallEstimator stallEstimator = new StallEstimator();
     private final LifecycleGuard guard;
@@ -175,6 +176,7 @@
         Balancer.Settings settings = config.settingsReader().settings();
         this.loop = loop;
         this.memoryBudget = MemoryBudget.of(Runtime.getRuntime().maxMemory(), config.maxMemoryMb(), loop);
+        this.balancerTimer = new ReplaceableTimer(loop);
         this.guard = new LifecycleGuard(loop);
         this.classes = settings.classes();
         this.balancer = new Rules(settings, config.seed(), this);
@@ -547,7 +549,7 @@
 
     @Override
     public void setTimer(long token, long at) {
-        loop.schedule(() -> deliver(now -> balancer.timerFired(now, token)), Math.max(0, at - now()),
+        balancerTimer.set(() -> deliver(now -> balancer.timerFired(now, token)), Math.max(0, at - now()),
                 TimeUnit.NANOSECONDS);
     }
 
