Throw no stack trace for an invalid request, which clients can send by the thousand

What callers saw: 60 peers that send 8 MB of short requests without Req-Id each, and leave: of 343 requests of another client (deadline 1 s) 33 were refused and 35 unanswered after 1.5 s; with 200 peers 152 of 351.

Cause: each such request threw two IllegalArgumentExceptions, whose stack traces of some 40 frames were filled in on the event loop. Evidence: of eight stacks of the event loop during the flood two lay in Throwable.fillInStackTrace, four more in the handling of the same requests.

Change: InvalidRequestException, checked, with a message for the client and no trace.

--- a/src/main/java/pondridge/sidecar/ClientConnection.java
+++ b/src/main/java/pondridge/sidecar/ClientConnection.java
@@ -295,7 +295,7 @@
         RequestDispatcher.ClientRequest clientRequest;
         try {
             clientRequest = frontend.parser().parse(request, waitedNanos);
-        } catch (IllegalArgumentException e) {
+        } catch (InvalidRequestException e) {
             respond(Responses.plainText(HttpResponseStatus.BAD_REQUEST, e.getMessage()));
             return false;
         }
--- a/src/main/java/pondridge/sidecar/RequestParser.java
+++ b/src/main/java/pondridge/sidecar/RequestParser.java
@@ -39,27 +39,28 @@
      *
      * @param waitedNanos how long the request may have waited in this sidecar: unaccepted, unread, or behind
      *     earlier requests on its connection. The client's timeout has run meanwhile.
-     * @throws IllegalArgumentException if a header is missing or invalid; the client gets its message
+     * @throws InvalidRequestException if a header is missing or invalid; the client gets its message
      */
-    RequestDispatcher.ClientRequest parse(ReceivedRequest request, long waitedNanos) {
+    RequestDispatcher.ClientRequest parse(ReceivedRequest request, long waitedNanos)
+            throws InvalidRequestException {
         HttpRequest message = request.head();
         header(message, "Req-Id");
         int classIndex = classNames.indexOf(header(message, "Req-Kind"));
         if (classIndex < 0) {
-            throw new IllegalArgumentException("unknown Req-Kind");
+            throw new InvalidRequestException("unknown Req-Kind");
         }
         int tenant = 0;
         if (!tenantNames.isEmpty()) {
             tenant = tenantNames.indexOf(header(message, "Req-Owner"));
             if (tenant < 0) {
-                throw new IllegalArgumentException("unknown Req-Owner");
+                throw new InvalidRequestException("unknown Req-Owner");
             }
         }
         boolean hasIdempotencyKey = message.headers().contains("Idempotency-Key");
         Semantics semantics = classes.get(classIndex).semantics();
         HttpMethod method = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
         if (!message.method().equals(method) || (semantics == Semantics.BY_KEY) != hasIdempotencyKey) {
-            throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
+            throw new InvalidRequestException("method or Idempotency-Key does not fit the class");
         }
         boolean hasCostHint = message.headers().contains("Req-Cost");
         long costHint = hasCostHint ? number(message, "Req-Cost") * NANOS_PER_MICRO : 0;
@@ -72,25 +73,25 @@
     static long timeoutMs(HttpRequest message) {
         try {
             return number(message, "Req-Deadline-Ms");
-        } catch (IllegalArgumentException e) {
+        } catch (InvalidRequestException e) {
             return -1;
         }
     }
 
-    private static String header(HttpRequest message, String name) {
+    private static String header(HttpRequest message, String name) throws InvalidRequestException {
         String value = message.headers().get(name);
         if (value == null || value.isEmpty()) {
-            throw new IllegalArgumentException("missing " + name);
+            throw new InvalidRequestException("missing " + name);
         }
         return value;
     }
 
     /** The value of a header that must be a whole number, not negative and of at most nine digits. */
-    private static long number(HttpRequest message, String name) {
+    private static long number(HttpRequest message, String name) throws InvalidRequestException {
         String value = header(message, name);
         boolean allDigits = value.chars().allMatch(digit -> digit >= '0' && digit <= '9');
         if (value.length() > MAX_NUMBER_DIGITS || !allDigits) {
-            throw new IllegalArgumentException("not a whole number: " + name);
+            throw new InvalidRequestException("not a whole number: " + name);
         }
         return Long.parseLong(value);
     }
