Poll the sockets at least every 2 ms while tasks add tasks

Cause: Netty's loop runs tasks for up to 1 s between two polls. The requests of a client's queue begin each other, one task each, so the sockets of all others stay unread meanwhile.

Evidence: EventLoopsTest, a chain of tasks for 600 ms: with Netty's default the sockets were unread for 596 ms.

Change: EventLoops creates the loop with a limit of 2 ms; it is checked after every 64 tasks. The tests' harness uses the same loop as the process.

--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -3,8 +3,6 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -45,7 +43,7 @@
             return;
         }
         EventLoopMonitor monitor = new EventLoopMonitor();
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, monitor.wrap(NioIoHandler.newFactory())).next();
+        EventLoop loop = EventLoops.create(monitor);
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
         loop.execute(() -> {
             try {
--- a/src/test/java/pondridge/sidecar/SidecarHarness.java
+++ b/src/test/java/pondridge/sidecar/SidecarHarness.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.io.BufferedInputStream;
@@ -30,9 +28,7 @@
     static final int DEADLINE_MS = 20_000;
 
     private final EventLoopMonitor loopMonitor = new EventLoopMonitor();
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, loopMonitor.wrap(NioIoHandler.newFactory()));
-    final EventLoop loop = group.next();
+    final EventLoop loop = EventLoops.create(loopMonitor);
     final Frontend frontend;
     final RequestDispatcher dispatcher;
     final InetSocketAddress address;
@@ -167,6 +163,6 @@
 
     @Override
     public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
