Deduct from a deadline the time for which interrupted reads left the request unread

What callers saw: upstreams were told deadlines longer than their clients still waited, by more than the 150 ms allowed, while reads were interrupted for 250 ms.

Cause: the unread time is measured from the event loop's polls. An interrupted read returns nothing and the loop polls again at once, so that each poll was short and the unread time seemed to be none.

Why it works: the channel keeps for how long reads failed before the bytes since the socket was last empty, and that is added to the unread time.

The testbed's reports also say now why requests were refused or failed, by the sidecar's log, and show its state lines; failed fault tests without a report print the same. Nothing is checked differently.

--- a/src/main/java/pondridge/sidecar/Acceptor.java
+++ b/src/main/java/pondridge/sidecar/Acceptor.java
@@ -31,7 +31,7 @@
          *     waited in the backlog; 0 if accepting has not been failing
          * @return whether to keep the connection; otherwise it is closed
          */
-        boolean accepted(Channel connection, long failingNanos);
+        boolean accepted(RetryingSocketChannel connection, long failingNanos);
 
         /** Called when {@code accept} has failed; it is retried after a few milliseconds. */
         void acceptFailed();
@@ -69,7 +69,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        Channel connection = (Channel) message;
+        RetryingSocketChannel connection = (RetryingSocketChannel) message;
         connection.config().setOption(ChannelOption.TCP_NODELAY, true);
         acceptedInRead++;
         if (!listener.accepted(connection, failingSince == 0 ? 0 : System.nanoTime() - failingSince)) {
--- a/src/main/java/pondridge/sidecar/ClientConnection.java
+++ b/src/main/java/pondridge/sidecar/ClientConnection.java
@@ -1,6 +1,5 @@
 package pondridge.sidecar;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -41,7 +40,7 @@
 
     private final Frontend frontend;
     private final RequestDispatcher dispatcher;
-    private final Channel channel;
+    private final RetryingSocketChannel channel;
     private final RequestDecoder decoder;
     private final boolean overLimit;
     private final long acceptDelayNanos;
@@ -79,8 +78,8 @@
      * @param overLimit whether this connection exceeds the limit, so that its requests are refused
      * @param acceptDelayNanos for how many nanoseconds the connection may have waited to be accepted
      */
-    ClientConnection(Frontend frontend, RequestDispatcher dispatcher, Channel channel, RequestDecoder decoder,
-            boolean overLimit, long acceptDelayNanos) {
+    ClientConnection(Frontend frontend, RequestDispatcher dispatcher, RetryingSocketChannel channel,
+            RequestDecoder decoder, boolean overLimit, long acceptDelayNanos) {
         this.frontend = frontend;
         this.dispatcher = dispatcher;
         this.channel = channel;
@@ -158,7 +157,7 @@
         requestsRead++;
         // A request in the first read may have arrived before the connection was accepted.
         long now = System.nanoTime();
-        long unreadNanos = frontend.loopMonitor().maxUnreadNanos(now);
+        long unreadNanos = frontend.loopMonitor().maxUnreadNanos(now) + channel.lastDelayNanos();
         long waitedNanos = Math.max(firstReadComplete ? 0 : acceptDelayNanos,
                 unreadNanos < MIN_STALL_NANOS ? 0 : unreadNanos);
         if (disconnected) {
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -1,6 +1,5 @@
 package pondridge.sidecar;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
@@ -62,7 +61,7 @@
     }
 
     @Override
-    public boolean accepted(Channel channel, long failingNanos) {
+    public boolean accepted(RetryingSocketChannel channel, long failingNanos) {
         if (connections.size() >= maxConnections) {
             closeLongestIdle();
         }
--- a/src/main/java/pondridge/sidecar/RetryingSocketChannel.java
+++ b/src/main/java/pondridge/sidecar/RetryingSocketChannel.java
@@ -22,6 +22,11 @@
     /** The latest read error if no byte has been read since; else null. */
     private IOException readError;
     private long readFailingSince;
+    /** Whether the latest reads have failed or were interrupted. */
+    private boolean readsDelayed;
+    private long readsDelayedSince;
+    /** For how long reads had failed before the bytes that have been read since the socket was empty. */
+    private long lastDelayNanos;
     private long writeFailingSince;
 
     /** Creates a channel that is not connected. */
@@ -49,10 +54,39 @@
         if (count == END_OF_STREAM && readError != null) {
             throw readError;
         }
+        if (count < END_OF_STREAM) {
+            noteDelay();
+            return 0;
+        }
         if (count > 0) {
             readError = null;
+            endDelay();
+        } else {
+            lastDelayNanos = 0;
+        }
+        return count;
+    }
+
+    private void endDelay() {
+        if (readsDelayed) {
+            lastDelayNanos = System.nanoTime() - readsDelayedSince;
+            readsDelayed = false;
         }
-        return count < END_OF_STREAM ? 0 : count;
+    }
+
+    private void noteDelay() {
+        if (!readsDelayed) {
+            readsDelayed = true;
+            readsDelayedSince = System.nanoTime();
+        }
+    }
+
+    /**
+     * For how many nanoseconds the latest bytes may have been unread because reads failed; 0 if none had
+     * failed before them. A message may take several reads, and the delay counts until the socket is empty.
+     */
+    long lastDelayNanos() {
+        return lastDelayNanos;
     }
 
     /** Writes as much as the socket accepts. Bytes left over by a transient error are written later. */
@@ -80,6 +114,7 @@
     }
 
     private int retryRead(IOException error) throws IOException {
+        noteDelay();
         long now = System.nanoTime();
         if (readError == null) {
             readFailingSince = now;
--- a/src/main/java/pondridge/testbed/SoakReport.java
+++ b/src/main/java/pondridge/testbed/SoakReport.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -47,10 +48,13 @@
         }
     }
 
-    /** Adds the system calls that were made to fail in one sidecar, and the resources that it used. */
-    void add(SidecarProcess sidecar, ResourceUsage usage) {
+    /**
+     * Adds the system calls that were made to fail in one sidecar, the resources that it used, and why it
+     * refused or failed requests.
+     */
+    void add(SidecarProcess sidecar, ResourceUsage usage) throws IOException {
         sidecar.faults().injectedCounts().forEach((fault, count) -> injected.merge(fault, count, Long::sum));
-        resources.add("sidecar " + sidecar.number() + ": " + usage);
+        resources.add("sidecar " + sidecar.number() + ": " + usage + "; " + FailureSummary.of(sidecar));
     }
 
     List<Violation> violations() {
--- a/src/test/java/pondridge/testbed/FaultInjectionIT.java
+++ b/src/test/java/pondridge/testbed/FaultInjectionIT.java
@@ -70,6 +70,12 @@
                 fleet.settings(), false);
     }
 
+    /** Checks the invariants; if one is broken, the message tells what the sidecar and the machine did. */
+    private static void expectNoViolation(Fleet fleet) throws IOException {
+        String situation = fleet.describeDelays() + "\n" + FailureSummary.of(fleet.sidecars().get(0));
+        assertEquals(List.of(), check(fleet), situation);
+    }
+
     private static void expectServed(SoakReport report) {
         assertEquals(List.of(), report.violations(), report::text);
         int notServed = report.requests() - report.count(End.SERVED);
@@ -127,6 +133,19 @@
         expectHarmless(SystemFault.READ, Errno.EINTR, LONG_FAULT, 300);
     }
 
+    /**
+     * The time for which a request was unread because each read was interrupted is not deducted from the
+     * deadline that the upstream is told.
+     */
+    @Test
+    void deadlinesWereToldTooLongWhenAllReadsWereInterrupted() throws IOException {
+        try (Fleet fleet = fleet(SidecarProcess.LogDestination.FILE)) {
+            SoakReport report = runBursts(fleet, failing(SystemFault.READ, Errno.EINTR, LONG_FAULT, 1000));
+            assertTrue(report.injected(SystemFault.READ) > 0, "the fault was never injected");
+            assertEquals(List.of(), report.violations(), report::text);
+        }
+    }
+
     @Test
     void connectionsWereClosedAfterAReadFailedForAMoment() throws IOException {
         expectHarmless(SystemFault.READ, Errno.ETIMEDOUT, LONG_FAULT, 100);
@@ -206,7 +225,7 @@
             fleet.history().listUpdated(fleet.upstreams().get(0).uid(), RunHistory.State.DRAINING);
             StubUpstream.sleep(2 * SidecarSettings.DRAIN_GRACE_MS);
             fleet.stopLoad();
-            assertEquals(List.of(), check(fleet));
+            expectNoViolation(fleet);
         }
     }
 
@@ -221,7 +240,7 @@
             fleet.requireReady(sidecar);
             assertTrue(sidecar.faults().injectedCounts().containsKey(SystemFault.SOCKET),
                     "the fault was never injected");
-            assertEquals(List.of(), check(fleet));
+            expectNoViolation(fleet);
         }
     }
 
@@ -242,7 +261,7 @@
             fleet.history().listUpdated(fleet.upstreams().get(0).uid(), RunHistory.State.DRAINING);
             StubUpstream.sleep(2 * SidecarSettings.DRAIN_GRACE_MS);
             fleet.stopLoad();
-            assertEquals(List.of(), check(fleet));
+            expectNoViolation(fleet);
         }
     }
 
@@ -294,7 +313,7 @@
             long warmAt = System.nanoTime();
             StubUpstream.sleep(1_000);
             fleet.stopLoad();
-            assertEquals(List.of(), check(fleet));
+            expectNoViolation(fleet);
             long attemptsWhenWarm = fleet.history().attempts().stream().filter(attempt ->
                     attempt.upstream().equals("s-0") && attempt.firstByteAt() > warmAt).count();
             assertTrue(attemptsWhenWarm > EXCHANGES_PER_SECOND / 3,
@@ -316,7 +335,7 @@
             StubUpstream.sleep(500);
             FaultInjector.terminateAll(fleet);
             fleet.stopLoad();
-            assertEquals(List.of(), check(fleet));
+            expectNoViolation(fleet);
         }
     }
 
@@ -331,7 +350,7 @@
                 pipelineAndDisconnect(fleet, i);
             }
             StubUpstream.sleep(1_000);
-            assertEquals(List.of(), check(fleet));
+            expectNoViolation(fleet);
         }
     }
 
