--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -306,6 +306,23 @@
         assertTrue(cold > 5 && cold < 40, "attempts to the cold upstream: " + cold);
     }
 
+    /** The cold upstream's own work was counted as that of warm ones, which raised its budget in turn. */
+    @Test
+    void coldUpstreamGotTwiceTheLoadOfAWarmOneNearTheEndOfItsRamp() {
+        RecordingHost host = host(REPEATABLE).withUpstreams(2);
+        host.serveSequentially(0, 2_000, 0, 5 * MS);
+        host.rules.listUpdated(host.now, ListUpdateType.DELTA,
+                List.of(upstream(9, UpstreamState.READY, host.now)));
+        host.serveSequentially(5_000, 6_200, 0, 5 * MS);
+        int attemptsBefore = host.attempts.size();
+        host.serveSequentially(7_000, 7_300, 0, 5 * MS);
+        long cold = host.attemptsTo(9, attemptsBefore);
+        long warm = (300 - cold) / 2;
+        // The last 1.5 s of a ramp of 8 s: the share grows from 0.8 to 1.
+        assertTrue(cold > 0.7 * warm && cold < 1.2 * warm, cold + " attempts to the cold upstream, " + warm
+                + " to each warm one");
+    }
+
     /** The share is a part of a warm upstream's load, which a new sidecar has measured only briefly. */
     @Test
     void newSidecarGivesColdUpstreamsTheirShare() {
