--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -432,7 +432,7 @@
                 admission.attemptEnded(now, attempt, outcome, pending);
             }
             admission.leaveWindow(attempt);
-            if (outcome == Outcome.OK && attempt.sentAt >= upstream.coldUntil) {
+            if (outcome == Outcome.OK) {
                 registry.servedWork.add(now, registry.estimatedWork(pending));
             }
             if (requestFinished || pending.finished) {
@@ -492,8 +492,7 @@
         private final DurationRatio warmRatio = new DurationRatio();
         private long nextWarmAt = Long.MAX_VALUE;  // time at which the next slow start ends
         private boolean listReceived;
-        // In ns, by upstreams that were warm when the attempt was sent.
-        private final DecayingSum servedWork = new DecayingSum(settings.limits().rampTime(), 0);
+        private final DecayingSum servedWork = new DecayingSum(settings.limits().rampTime(), 0);  // in ns
         private long retryDelay;  // of a failed subscription, in ns
         private long renewalGeneration;  // a scheduled renewal of an older generation does nothing
         private long startedAt;  // of this sidecar
