Give Netty the limit on tasks between polls in milliseconds, as it expects

Netty takes milliseconds there, so tasks could hold up the sockets without an end, instead of for Netty's one second.

--- a/src/main/java/pondridge/sidecar/EventLoops.java
+++ b/src/main/java/pondridge/sidecar/EventLoops.java
@@ -15,7 +15,7 @@
      * How long the loop runs tasks before it polls its sockets again. With Netty's default of one second, the
      * tasks of a client that has many requests queued, each of which adds the next, hold up all others.
      */
-    private static final long MAX_TASK_NANOS = 2_000_000;
+    private static final long MAX_TASK_MS = 2;
 
     private EventLoops() { }
 
@@ -34,7 +34,7 @@
         protected IoEventLoop newChild(Executor executor, IoHandlerFactory ioHandlerFactory,
                 Object... arguments) {
             return new SingleThreadIoEventLoop(this, executor, ioHandlerFactory, Integer.MAX_VALUE,
-                    RejectedExecutionHandlers.reject(), MAX_TASK_NANOS);
+                    RejectedExecutionHandlers.reject(), MAX_TASK_MS);
         }
     }
 }
