Make the test of the response budget wait for a full budget, not for a fast machine

The test released each response as it came. Where its fake upstream sent slowly, the budget was never full, and there was nothing to wait for.

With a fake upstream that sends one response each 10 ms, the old test failed with the same message (at most 601 KiB held), and the new one passes. It releases no response until one had to wait, so it is stricter than before: the budget has to be full.

Waits that were written by hand, one of them without an end, use Await now.

--- a/src/test/java/pondridge/sidecar/MemoryLimitTest.java
+++ b/src/test/java/pondridge/sidecar/MemoryLimitTest.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -57,11 +56,7 @@
         closeClients();
         upstream.stop();
         MemoryBudget budget = harness.dispatcher.memoryBudget();
-        long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakeUpstream.TIMEOUT_S);
-        while (harness.loop.submit(budget::used).get() != 0 && System.nanoTime() < giveUpAt) {
-            Thread.sleep(10);
-        }
-        assertEquals(0, harness.loop.submit(budget::used).get(), () -> "held: " + budget);
+        Await.until(() -> harness.loop.submit(budget::used).get() == 0, () -> "held: " + budget);
     }
 
     /** Bodies received in part filled the memory, and no other client was served. */
--- a/src/test/java/pondridge/sidecar/UpstreamClientTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamClientTest.java
@@ -102,6 +102,9 @@
                 loop.execute(() -> upstreamClient.send(1, get("/api/x"), LONG_TIMEOUT_NANOS,
                         (outcome, response, loadReport) -> responses.add(response)));
             }
+            // None is released until one had to wait, however slowly they come.
+            Await.until(() -> !loop.submit(budget::toString).get().contains(" 0 waited"),
+                    () -> "none had to wait: " + budget);
             for (int i = 0; i < count; i++) {
                 RequestDispatcher.UpstreamResponse response = FakeUpstream.next(responses);
                 assertEquals(body, new String(response.body(), StandardCharsets.ISO_8859_1));
@@ -110,11 +113,8 @@
                 assertTrue(held <= budget.limit() + count * (80L << 10), () -> "held: " + budget);
                 loop.submit(response::release).sync();
             }
-            assertTrue(!budget.toString().contains(" 0 waited"), () -> "none had to wait: " + budget);
-        }
-        while (loop.submit(budget::used).get() > 0) {
-            Thread.sleep(5);
         }
+        Await.until(() -> loop.submit(budget::used).get() == 0, () -> "held: " + budget);
     }
 
     /** Every upstream can be reached, even if there are more of them than connections allowed. */
