Deduct the time for which the process was stopped from the told deadlines

What callers saw: after the host had stopped the sidecar for 200 to 300 ms, upstreams were told up to 245 ms more than the clients still waited, where 150 ms are allowed.

Cause: a poll whose selector had waited was taken to mean that its sockets had no data before. A stop of the process during the wait was not noticed; nor was the wait of connections behind the first sixteen of the backlog, nor that of requests read and not yet started. A selector that is interrupted when the process continues returns without a look at the sockets.

Fix: a heartbeat of 25 ms limits the selector's wait, so that a longer time between two returns of the selector is a stall, and all of it is counted. The backlog's wait counts until a read empties it.

Test: FaultInjectionIT#deadlinesWereToldTooLongAfterTheProcessWasStopped.

--- a/src/main/java/pondridge/sidecar/Acceptor.java
+++ b/src/main/java/pondridge/sidecar/Acceptor.java
@@ -27,26 +27,31 @@
         /**
          * Called for each accepted connection before it is registered; adds the connection's handlers.
          *
-         * @param failingNanos how long accepting has been failing, during which the connection may have
-         *     waited in the backlog; 0 if accepting has not been failing
+         * @param waitedNanos for how long the connection may have waited in the backlog
          * @return whether to keep the connection; otherwise it is closed
          */
-        boolean accepted(RetryingSocketChannel connection, long failingNanos);
+        boolean accepted(RetryingSocketChannel connection, long waitedNanos);
 
         /** Called when {@code accept} has failed; it is retried after a few milliseconds. */
         void acceptFailed();
     }
 
     private final Listener listener;
+    private final EventLoopMonitor loopMonitor;
     private long failures;
-    /** When the failures began, of {@link System#nanoTime}; 0 after a read that emptied the backlog. */
-    private long failingSince;
-    /** The value of {@link #failingSince} before the last read, should that turn out to have failed. */
-    private long previousFailingSince;
+    /**
+     * Since when connections may have waited in the backlog, of {@link System#nanoTime}; 0 after a read that
+     * emptied it.
+     */
+    private long waitingSince;
+    /** The value of {@link #waitingSince} before the last read, should that turn out to have failed. */
+    private long previousWaitingSince;
     private int acceptedInRead;
+    private int acceptedSinceEmpty;
 
-    private Acceptor(Listener listener) {
+    private Acceptor(Listener listener, EventLoopMonitor loopMonitor) {
         this.listener = listener;
+        this.loopMonitor = loopMonitor;
     }
 
     /**
@@ -54,11 +59,12 @@
      *
      * @throws io.netty.channel.ChannelException if the socket cannot be created
      */
-    static ChannelFuture listen(EventLoop loop, InetSocketAddress address, Listener listener) {
+    static ChannelFuture listen(EventLoop loop, InetSocketAddress address, Listener listener,
+            EventLoopMonitor loopMonitor) {
         ServerChannel channel = new ServerChannel();
         channel.config().setOption(ChannelOption.SO_BACKLOG, BACKLOG);
         channel.config().setOption(ChannelOption.SO_REUSEADDR, true);
-        channel.pipeline().addLast(new Acceptor(listener));
+        channel.pipeline().addLast(new Acceptor(listener, loopMonitor));
         loop.register(channel);
         return channel.bind(address).addListener(bound -> {
             if (!bound.isSuccess()) {
@@ -72,7 +78,7 @@
         RetryingSocketChannel connection = (RetryingSocketChannel) message;
         connection.config().setOption(ChannelOption.TCP_NODELAY, true);
         acceptedInRead++;
-        if (!listener.accepted(connection, failingSince == 0 ? 0 : System.nanoTime() - failingSince)) {
+        if (!listener.accepted(connection, waitedNanos())) {
             connection.unsafe().closeForcibly();
             return;
         }
@@ -83,22 +89,34 @@
         });
     }
 
+    private long waitedNanos() {
+        long now = System.nanoTime();
+        long unreadSince = now - loopMonitor.maxUnreadNanos(now);
+        if (waitingSince == 0 || unreadSince - waitingSince < 0) {
+            waitingSince = unreadSince;
+        }
+        return now - waitingSince;
+    }
+
+    /** After a full read, the rest of the backlog has waited as long, up to the size of the backlog. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (acceptedInRead < MAX_ACCEPTS_PER_READ) {
-            previousFailingSince = failingSince;
-            failingSince = 0;
+        acceptedSinceEmpty += acceptedInRead;
+        if (acceptedInRead < MAX_ACCEPTS_PER_READ || acceptedSinceEmpty >= BACKLOG) {
+            previousWaitingSince = waitingSince;
+            waitingSince = 0;
+            acceptedSinceEmpty = 0;
         }
         acceptedInRead = 0;
     }
 
     /**
      * Handles a failed {@code accept}. Netty calls this after {@link #channelReadComplete} of the same read,
-     * which took the backlog for empty; it is not, so {@link #failingSince} is restored.
+     * which took the backlog for empty; it is not, so {@link #waitingSince} is restored.
      */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        failingSince = previousFailingSince == 0 ? System.nanoTime() : previousFailingSince;
+        waitingSince = previousWaitingSince == 0 ? System.nanoTime() : previousWaitingSince;
         failures++;
         if (Long.bitCount(failures) == 1) {
             System.err.println("frontend: accept failed, " + failures + " times so far: " + cause);
--- a/src/main/java/pondridge/sidecar/ClientConnection.java
+++ b/src/main/java/pondridge/sidecar/ClientConnection.java
@@ -158,19 +158,19 @@
         // A request in the first read may have arrived before the connection was accepted.
         long now = System.nanoTime();
         long unreadNanos = frontend.loopMonitor().maxUnreadNanos(now) + channel.lastDelayNanos();
-        long waitedNanos = Math.max(firstReadComplete ? 0 : acceptDelayNanos,
+        long receivedAt = now - Math.max(firstReadComplete ? 0 : acceptDelayNanos,
                 unreadNanos < MIN_STALL_NANOS ? 0 : unreadNanos);
         if (disconnected) {
             request.memory().close();
         } else if (!requestInProgress && queue.isEmpty() && channel.isWritable()) {
             // Started once all that has arrived is read: the client's close may follow the request.
             requestInProgress = true;
-            channel.eventLoop().execute(() -> start(request, waitedNanos));
+            channel.eventLoop().execute(() -> start(request, receivedAt));
         } else if (queue.size() >= MAX_QUEUED_REQUESTS) {
             request.memory().close();
             close();
         } else {
-            enqueue(request, now - waitedNanos);
+            enqueue(request, receivedAt);
         }
     }
 
@@ -236,22 +236,26 @@
             }
             return;
         }
-        start(next.request(), System.nanoTime() - next.receivedAt());
+        start(next.request(), next.receivedAt());
     }
 
-    /** Starts a request; its memory is released unless the dispatcher has taken it over. */
-    private void start(ReceivedRequest request, long waitedNanos) {
+    /**
+     * Starts a request; its memory is released unless the dispatcher has taken it over.
+     *
+     * @param receivedAt when the request may have arrived, of {@link System#nanoTime}
+     */
+    private void start(ReceivedRequest request, long receivedAt) {
         requestInProgress = true;
         requestId = 0;
         requestsStarted++;
         readTimeout.cancel();
-        if (!dispatcher.guard().mayStart(isConnected()) || !respondOrSubmit(request, waitedNanos)) {
+        if (!dispatcher.guard().mayStart(isConnected()) || !respondOrSubmit(request, receivedAt)) {
             request.memory().close();
         }
     }
 
     /** Responds to a request or submits it to the dispatcher; returns whether it has been submitted. */
-    private boolean respondOrSubmit(ReceivedRequest request, long waitedNanos) {
+    private boolean respondOrSubmit(ReceivedRequest request, long receivedAt) {
         HttpRequest head = request.head();
         keepAlive = request.canBeFollowed() && HttpUtil.isKeepAlive(head);
         if (request.failure() != ReceivedRequest.Failure.NONE) {
@@ -268,7 +272,7 @@
             respond(Responses.plainText(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                     ""));
         } else if (path.equals("/api") || path.startsWith("/api/")) {
-            return submit(request, waitedNanos);
+            return submit(request, receivedAt);
         } else {
             respond(Responses.plainText(HttpResponseStatus.NOT_FOUND, "no such path"));
         }
@@ -290,10 +294,10 @@
     }
 
     /** Submits a request to the dispatcher; returns false if it is invalid and has been responded to. */
-    private boolean submit(ReceivedRequest request, long waitedNanos) {
+    private boolean submit(ReceivedRequest request, long receivedAt) {
         RequestDispatcher.ClientRequest clientRequest;
         try {
-            clientRequest = frontend.parser().parse(request, waitedNanos);
+            clientRequest = frontend.parser().parse(request, System.nanoTime() - receivedAt);
         } catch (InvalidRequestException e) {
             respond(Responses.plainText(HttpResponseStatus.BAD_REQUEST, e.getMessage()));
             return false;
--- a/src/main/java/pondridge/sidecar/EventLoopMonitor.java
+++ b/src/main/java/pondridge/sidecar/EventLoopMonitor.java
@@ -1,5 +1,6 @@
 package pondridge.sidecar;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.IoEvent;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
@@ -9,21 +10,30 @@
 import io.netty.channel.nio.NioIoHandle;
 import java.io.IOException;
 import java.nio.channels.SelectableChannel;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Measures for how long received bytes may have been unread because the event loop was busy. A client's
- * deadline runs from the time at which it sent the request, not from the time at which the sidecar read it.
- * The monitor wraps the loop's I/O handler to see when it polls the sockets; one call of
- * {@link IoHandler#run} is a poll. Used on the event loop only.
+ * Measures for how long received bytes may have been unread because the event loop was busy, or because the
+ * process was stopped. A client's deadline runs from the time at which it sent the request, not from the time
+ * at which the sidecar read it. The monitor wraps the loop's I/O handler to see when it polls the sockets; one
+ * call of {@link IoHandler#run} is a poll. A heartbeat limits how long the selector waits: a longer wait shows
+ * that the whole process was stopped meanwhile. Used on the event loop only.
  */
 final class EventLoopMonitor {
     /** If the first event comes later than this after a poll's start, the selector has waited for it. */
     private static final long MIN_SELECT_WAIT_NANOS = 1_000_000;
+    private static final long HEARTBEAT_INTERVAL_MS = 25;
+    /**
+     * With the heartbeat, the selector returns at least this often, unless the loop was busy or the process
+     * was stopped.
+     */
+    private static final long MAX_RETURN_INTERVAL_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_INTERVAL_MS + 5);
 
     private long pollStartedAt;
     /**
-     * Time of the current poll's first event, or of its end if it had none; before that, still the value of
-     * the previous poll.
+     * Time of the current poll's first event, or of its end if it had none and the process was not stopped
+     * meanwhile; before that, still the value of the previous poll.
      */
     private long selectReturnedAt;
     /** Value of {@link #selectReturnedAt} at the end of the previous poll; 0 in the first poll. */
@@ -31,6 +41,11 @@
     /** Whether the current poll has had an event. */
     private boolean eventSeen;
 
+    /** Begins the heartbeat on the loop whose I/O handler this monitor wraps. */
+    void startHeartbeat(EventLoop loop) {
+        loop.scheduleWithFixedDelay(() -> { }, 0, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns a factory whose I/O handlers report their polls to this monitor. */
     IoHandlerFactory wrap(IoHandlerFactory factory) {
         return executor -> new MonitoredHandler(factory.newHandler(executor));
@@ -49,8 +64,12 @@
         }
     }
 
+    /**
+     * A selector that is interrupted by the signal which continues the process may return without a look at
+     * the sockets. A poll without events that took too long is therefore left out.
+     */
     private void pollEnded(long now) {
-        if (!eventSeen) {
+        if (!eventSeen && now - pollStartedAt <= MAX_RETURN_INTERVAL_NANOS) {
             selectReturnedAt = now;
         }
     }
@@ -58,12 +77,14 @@
     /**
      * Returns for how many nanoseconds at most the bytes that are read now have been unread. If the selector
      * waited in this poll, no socket had data before it returned, and only the time since then counts.
-     * Otherwise, the bytes may have arrived at any time since the selector returned in the previous poll.
+     * Otherwise, or if the process was stopped while the selector waited, the bytes may have arrived at any
+     * time since the selector returned in the previous poll.
      */
     long maxUnreadNanos(long now) {
-        boolean waited = selectReturnedAt - pollStartedAt > MIN_SELECT_WAIT_NANOS
-                || previousSelectReturnedAt == 0;
-        return now - (waited ? selectReturnedAt : previousSelectReturnedAt);
+        boolean firstPoll = previousSelectReturnedAt == 0;
+        boolean waited = selectReturnedAt - pollStartedAt > MIN_SELECT_WAIT_NANOS;
+        boolean stalled = selectReturnedAt - previousSelectReturnedAt > MAX_RETURN_INTERVAL_NANOS;
+        return now - (firstPoll || waited && !stalled ? selectReturnedAt : previousSelectReturnedAt);
     }
 
     /** Passes the events of one channel on, after reporting them to the monitor. */
--- a/src/main/java/pondridge/sidecar/EventLoops.java
+++ b/src/main/java/pondridge/sidecar/EventLoops.java
@@ -19,9 +19,11 @@
 
     private EventLoops() { }
 
-    /** Creates a loop that reports its polls to a monitor. */
+    /** Creates a loop that reports its polls to a monitor, and begins the monitor's heartbeat on it. */
     static EventLoop create(EventLoopMonitor monitor) {
-        return new OneLoop(monitor.wrap(NioIoHandler.newFactory())).next();
+        EventLoop loop = new OneLoop(monitor.wrap(NioIoHandler.newFactory())).next();
+        monitor.startHeartbeat(loop);
+        return loop;
     }
 
     /** A group of one loop. */
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -52,7 +52,7 @@
      * @throws io.netty.channel.ChannelException if the socket cannot be created
      */
     ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
-        return Acceptor.listen(loop, address, this);
+        return Acceptor.listen(loop, address, this, loopMonitor);
     }
 
     @Override
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public boolean accepted(RetryingSocketChannel channel, long failingNanos) {
+    public boolean accepted(RetryingSocketChannel channel, long waitedNanos) {
         if (connections.size() >= maxConnections) {
             closeLongestIdle();
         }
@@ -71,8 +71,7 @@
         MemoryBudget memoryBudget = dispatcher.memoryBudget();
         RequestDecoder decoder = new RequestDecoder(memoryBudget);
         ClientConnection connection = new ClientConnection(this, dispatcher, channel, decoder,
-                connections.size() >= maxConnections,
-                Math.max(failingNanos, loopMonitor.maxUnreadNanos(System.nanoTime())));
+                connections.size() >= maxConnections, waitedNanos);
         channel.config().setWriteBufferWaterMark(UNWRITTEN_BYTES);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new RequestAggregator(memoryBudget),
                 connection);
--- a/src/test/java/pondridge/sidecar/EventLoopsTest.java
+++ b/src/test/java/pondridge/sidecar/EventLoopsTest.java
@@ -42,7 +42,7 @@
         Thread.sleep(TimeUnit.NANOSECONDS.toMillis(RUN_NANOS));
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         assertTrue(longestNanos.get() - stalledNanos.get() < MAX_UNPOLLED_NANOS,
-                "sockets unread for " + longestNanos.get() / 1_000_000 + " ms, of which the host took at most "
-                        + stalledNanos.get() / 1_000_000 + " ms");
+                "sockets unread for " + longestNanos.get() / 1_000_000 + " ms, of which the host took "
+                        + "at most " + stalledNanos.get() / 1_000_000 + " ms");
     }
 }
--- a/src/test/java/pondridge/testbed/FaultInjectionIT.java
+++ b/src/test/java/pondridge/testbed/FaultInjectionIT.java
@@ -26,6 +26,8 @@
     private static final long BURST_SPACING_MS = 900;
     private static final Duration SHORT_FAULT = Duration.ofMillis(50);
     private static final Duration LONG_FAULT = Duration.ofMillis(250);
+    /** Shorter than the deadlines, so that each request can still be answered. */
+    private static final long STOP_MS = 300;
     /** The percentage of requests that may remain unserved when system calls fail for a moment. */
     private static final int MAX_NOT_SERVED_PERCENT = 1;
     private static final SidecarSettings SHORT_DEADLINES =
@@ -146,6 +148,17 @@
         }
     }
 
+    /** The time for which the whole process was stopped is not deducted from the deadlines. */
+    @Test
+    void deadlinesWereToldTooLongAfterTheProcessWasStopped() throws IOException {
+        try (Fleet fleet = fleet(SidecarProcess.LogDestination.FILE)) {
+            fleet.upstreams().forEach(upstream -> upstream.setBehaviour(
+                    UpstreamBehaviour.CLOSING_CONNECTIONS));
+            SoakReport report = runBursts(fleet, each -> each.sidecars().get(0).stall(STOP_MS));
+            assertEquals(List.of(), report.violations(), report::text);
+        }
+    }
+
     @Test
     void connectionsWereClosedAfterAReadFailedForAMoment() throws IOException {
         expectHarmless(SystemFault.READ, Errno.ETIMEDOUT, LONG_FAULT, 100);
