Close upstream connections on which bytes come that belong to no request

Cause: only a whole response without a request closed a connection. Half of one stayed in the decoder, and the rest came from the next request's response. The 20 ms for which a connection is idle before its reuse did not help after a stall of the event loop, in which whole surplus responses were unread as well.

Fix: ResponseDecoder discards bytes while no response is expected, and the connection is closed. On a used connection a response is expected only once the request is written. Before its reuse the socket is read without waiting; if anything has arrived, the connection is closed and another one is used.

Evidence: four tests in UpstreamClientTest, one each for half a response on an idle connection, in one read with a whole response, during a write, and for a whole one unread during a stall.

--- a/src/main/java/pondridge/sidecar/Dialer.java
+++ b/src/main/java/pondridge/sidecar/Dialer.java
@@ -1,6 +1,5 @@
 package pondridge.sidecar;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
@@ -26,7 +25,7 @@
     /** Is notified of the result of a dial: one method is called, once, unless the dial is cancelled. */
     interface Listener {
         /** The connection is open and belongs to the listener, which adds its handlers in this call. */
-        void onConnected(Channel channel);
+        void onConnected(RetryingSocketChannel channel);
 
         /** The other side refused the connection, could not be reached, or did not respond in time. */
         void onFailed(Throwable cause);
@@ -58,7 +57,7 @@
     final class Dial {
         private final InetSocketAddress address;
         private final Listener listener;
-        private Channel channel;
+        private RetryingSocketChannel channel;
         private Future<?> retry;
         private long retryDelayMs = MIN_RETRY_DELAY_MS;
         private boolean finished;
--- a/src/main/java/pondridge/sidecar/DiscoveryClient.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryClient.java
@@ -225,7 +225,7 @@
         }
 
         @Override
-        public void onConnected(Channel connectedChannel) {
+        public void onConnected(RetryingSocketChannel connectedChannel) {
             channel = connectedChannel;
             connectedChannel.pipeline().addLast(new HttpClientCodec(), this);
             sendRequest();
--- a/src/main/java/pondridge/sidecar/ResponseDecoder.java
+++ b/src/main/java/pondridge/sidecar/ResponseDecoder.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
 
@@ -13,8 +15,14 @@
  * Decodes upstreams' responses, on the event loop. Netty ends a header's name at the first blank, and
  * therefore accepts a line without a colon as a header without a value. This decoder rejects such a response
  * as malformed. Each response comes as a {@link Head} with an account for its memory.
+ *
+ * <p>Bytes that come while no response is expected belong to no request. They are discarded, and the event
+ * {@link Event#UNEXPECTED_BYTES} tells the handlers that the connection can't be used any more.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    /** What the decoder tells the handlers behind it as a user event. */
+    enum Event { UNEXPECTED_BYTES }
+
     /** The head of a response. Its receiver closes the account. */
     static final class Head extends DefaultHttpResponse {
         private final MemoryBudget.Account memory;
@@ -31,12 +39,20 @@
 
     private final MemoryBudget budget;
     private DecoderMemory memory;
+    /** Whether a request is out that has no final response yet. */
+    private boolean responseExpected;
+    private boolean informational;
 
     ResponseDecoder(MemoryBudget budget) {
         this.budget = budget;
         setCumulator(DecoderMemory.COPYING_CUMULATOR);
     }
 
+    /** A request is being sent; its response may come from now on. */
+    void expectResponse() {
+        responseExpected = true;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         memory = new DecoderMemory(budget);
@@ -57,6 +73,7 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         Head head = new Head((HttpResponse) super.createMessage(initialLine), budget.openResponse());
+        informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         memory.messageBegun(head.memory());
         return head;
     }
@@ -78,7 +95,14 @@
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
         int readableBytes = bytes.readableBytes();
+        if (!responseExpected) {
+            bytes.skipBytes(readableBytes);
+            context.fireUserEventTriggered(Event.UNEXPECTED_BYTES);
+            return;
+        }
         super.decode(context, bytes, out);
         memory.decoded(readableBytes - bytes.readableBytes(), out);
+        boolean messageEnded = !out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent;
+        responseExpected = !messageEnded || informational;
     }
 }
--- a/src/main/java/pondridge/sidecar/RetryingSocketChannel.java
+++ b/src/main/java/pondridge/sidecar/RetryingSocketChannel.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -67,6 +68,18 @@
         return count;
     }
 
+    /**
+     * Whether bytes, the end of the stream or an error wait in the socket. A byte that is found is lost, so
+     * that the connection can only be closed then.
+     */
+    boolean hasUnreadBytes() {
+        try {
+            return javaChannel().read(ByteBuffer.allocate(1)) != 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     private void endDelay() {
         if (readsDelayed) {
             lastDelayNanos = System.nanoTime() - readsDelayedSince;
--- a/src/main/java/pondridge/sidecar/UpstreamClient.java
+++ b/src/main/java/pondridge/sidecar/UpstreamClient.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -40,7 +39,8 @@
     private static final long PROBE_TIMEOUT_NANOS = 250_000_000;
     /**
      * A connection is reused only after being idle this long. An upstream may send a second response to a
-     * request some milliseconds after the first, which would be taken for that of the next request.
+     * request some milliseconds after the first. Bytes that arrive before the next request is written close
+     * the connection; those that arrive later can't be told from the response to that request.
      */
     static final long MIN_IDLE_BEFORE_REUSE_MS = 20;
     /** An attempt cancelled this shortly before its expiry counts as expired. */
@@ -225,15 +225,22 @@
         private long startedAtMs;
         private boolean ready = true;
 
-        /** Removes and returns the most recently used connection idle for at least a time; null if none. */
+        /**
+         * Removes and returns the most recently used connection idle for at least a time; null if none. Those
+         * on which something has arrived unread, such as a surplus response, are closed.
+         */
         Connection takeReusable(long minIdleNanos) {
             long now = System.nanoTime();
             for (Iterator<Connection> iterator = idle.descendingIterator(); iterator.hasNext();) {
                 Connection connection = iterator.next();
-                if (now - connection.idleSince >= minIdleNanos) {
-                    iterator.remove();
+                if (now - connection.idleSince < minIdleNanos) {
+                    continue;
+                }
+                iterator.remove();
+                if (!connection.channel.hasUnreadBytes()) {
                     return connection;
                 }
+                connection.close();
             }
             return null;
         }
@@ -331,12 +338,17 @@
             implements Dialer.Listener {
         private final Pool pool;
         private Dialer.Dial dial;
-        private Channel channel;
+        private RetryingSocketChannel channel;
+        private final ResponseDecoder decoder = new ResponseDecoder(memoryBudget);
         /** Whether the connection is counted in {@link #connectionCount}. */
         private boolean holdsSlot;
         private boolean isLoadProbe;
         private Attempt currentAttempt;
         private long idleSince;
+        /** Whether a response has been received on this connection. */
+        private boolean used;
+        /** Whether bytes have come that belong to no request. */
+        private boolean unexpectedBytes;
         private boolean closed;
         /** Ends an attempt whose response has been read, once the read is complete. */
         private Runnable deferredEnd;
@@ -354,10 +366,10 @@
         }
 
         @Override
-        public void onConnected(Channel opened) {
+        public void onConnected(RetryingSocketChannel opened) {
             channel = opened;
             channel.closeFuture().addListener(future -> releaseSlot());
-            channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(memoryBudget),
+            channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
                     new ResponseAggregator(memoryBudget), this);
             write(currentAttempt);
         }
@@ -385,8 +397,12 @@
             attempt.connection = this;
             FullHttpRequest request = attempt.requestFactory.create(attempt.expiresAt - System.nanoTime());
             isLoadProbe = request.uri().equals(LOAD_PATH);
+            if (!used) {
+                decoder.expectResponse();
+            }
             channel.writeAndFlush(request).addListener(done -> {
                 if (done.isSuccess()) {
+                    decoder.expectResponse();
                     attempt.written = true;
                     pool.unwritten.remove(attempt);
                 } else {
@@ -430,7 +446,8 @@
                 return false;
             }
             currentAttempt = null;
-            if (!HttpUtil.isKeepAlive(head) || !attempt.written) {
+            used = true;
+            if (!HttpUtil.isKeepAlive(head) || !attempt.written || unexpectedBytes) {
                 close();
             }
             Outcome outcome = outcome(head);
@@ -468,6 +485,26 @@
             }
         }
 
+        /**
+         * Closes the connection if bytes have come that belong to no request, at the latest after the response
+         * that is being received. Such bytes may be the begin of a surplus response, whose rest would be taken
+         * from the response to the next request. On a connection that has been used before, bytes that come
+         * before a request has been written are such, too: they can't be told from an early response.
+         */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event != ResponseDecoder.Event.UNEXPECTED_BYTES) {
+                context.fireUserEventTriggered(event);
+                return;
+            }
+            unexpectedBytes = true;
+            if (currentAttempt == null) {
+                close();
+            } else if (!currentAttempt.written) {
+                currentAttempt.connectionFailed();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             onConnectionLost();
--- a/src/test/java/pondridge/sidecar/UpstreamClientTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamClientTest.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -267,6 +268,98 @@
         }
     }
 
+    private static final String HALF_SURPLUS = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nforeign";
+
+    private static String whole(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** The rest of a surplus response that had come in half was taken from the next request's response. */
+    @Test
+    void halfASurplusResponseBecamePartOfTheNextResponse() throws Exception {
+        BlockingQueue<Socket> sockets = new LinkedBlockingQueue<>();
+        try (FakeUpstream upstream = new FakeUpstream((socket, head) -> {
+            FakeUpstream.write(socket, whole("own"));
+            return sockets.add(socket);
+        })) {
+            UpstreamClient upstreamClient = newClient(upstream.address(), LONG_TIMEOUT_NANOS, 10);
+            send(upstreamClient);
+            assertEquals(Outcome.OK, FakeUpstream.next(outcomes));
+            FakeUpstream.write(FakeUpstream.next(sockets), HALF_SURPLUS);
+            FakeUpstream.next(upstream.disconnects);
+        }
+    }
+
+    /** The same with a surplus response that begins in the same read as the end of the whole one. */
+    @Test
+    void halfASurplusResponseInTheSameReadBecamePartOfTheNextResponse() throws Exception {
+        try (FakeUpstream upstream = new FakeUpstream((socket, head) -> {
+            FakeUpstream.write(socket, whole("own") + HALF_SURPLUS);
+            return true;
+        })) {
+            send(newClient(upstream.address(), LONG_TIMEOUT_NANOS, 10));
+            assertEquals(Outcome.OK, FakeUpstream.next(outcomes));
+            FakeUpstream.next(upstream.disconnects);
+        }
+    }
+
+    /** During a stall the connection has been idle for long enough, but not been read. */
+    @Test
+    void aSurplusResponseUnreadDuringAStallBecameTheNextResponse() throws Exception {
+        BlockingQueue<Socket> sockets = new LinkedBlockingQueue<>();
+        BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+        try (FakeUpstream upstream = new FakeUpstream((socket, head) -> {
+            FakeUpstream.write(socket, whole("own"));
+            return sockets.add(socket);
+        })) {
+            UpstreamClient upstreamClient = newClient(upstream.address(), LONG_TIMEOUT_NANOS, 10);
+            send(upstreamClient);
+            assertEquals(Outcome.OK, FakeUpstream.next(outcomes));
+            loop.submit(() -> {
+                FakeUpstream.write(FakeUpstream.next(sockets), whole("foreign"));
+                Thread.sleep(2 * UpstreamClient.MIN_IDLE_BEFORE_REUSE_MS);
+                return upstreamClient.send(1, get("/next"), LONG_TIMEOUT_NANOS,
+                        (outcome, response, loadReport) ->
+                                bodies.add(new String(response.body(), StandardCharsets.ISO_8859_1)));
+            }).sync();
+            assertEquals("own", FakeUpstream.next(bodies));
+        }
+    }
+
+    /** The same with half a surplus response that comes before the request has been written. */
+    @Test
+    void halfASurplusResponseDuringAWriteBecamePartOfTheNextResponse() throws Exception {
+        BlockingQueue<Socket> sockets = new LinkedBlockingQueue<>();
+        CountDownLatch goOn = new CountDownLatch(1);
+        try (FakeUpstream upstream = new FakeUpstream((socket, head) -> {
+            FakeUpstream.write(socket, whole("own"));
+            sockets.add(socket);
+            return await(goOn);
+        })) {
+            UpstreamClient upstreamClient = newClient(upstream.address(), LONG_TIMEOUT_NANOS, 10);
+            send(upstreamClient);
+            assertEquals(Outcome.OK, FakeUpstream.next(outcomes));
+            Thread.sleep(UpstreamClient.MIN_IDLE_BEFORE_REUSE_MS);
+            byte[] body = new byte[32 << 20];
+            loop.submit(() -> upstreamClient.send(1, timeLeft -> new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/api/x", Unpooled.wrappedBuffer(body)),
+                    LONG_TIMEOUT_NANOS, this::onEnded)).sync();
+            FakeUpstream.write(FakeUpstream.next(sockets), HALF_SURPLUS);
+            assertEquals(Outcome.CONNECT_FAILED, FakeUpstream.next(outcomes));
+            goOn.countDown();
+        }
+    }
+
+    private static boolean await(CountDownLatch latch) {
+        try {
+            latch.await();
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     /** A response larger than a body may be must not exhaust the memory. */
     @Test
     void oversizedResponseIsAnError() throws Exception {
