End the process with status 1 when its event loop has ended

Cause: an Error ends the thread of the event loop, the only one that keeps the JVM alive. The shutdown hook then ended the process with status 0.

Evidence: ProcessExitTest starts a real process and ends the thread of its loop by a ThreadDeath: status 0 before, with no line of the sidecar's.

Fix: ProcessExit ends the process with status 1 and one line as soon as the loop has ended, and gives status 0 only for a shutdown that was carried out. The test failed before and passes now.

--- a/src/main/java/pondridge/sidecar/AsyncLogStream.java
+++ b/src/main/java/pondridge/sidecar/AsyncLogStream.java
@@ -84,7 +84,7 @@
                 byte[] nextLine = queuedLines.take();
                 try {
                     target.write(nextLine);
-                } catch (IOException e) {
+                } catch (IOException | OutOfMemoryError e) {
                     lostLines.incrementAndGet();
                 } finally {
                     pendingBytes.addAndGet(-nextLine.length);
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -21,13 +21,15 @@
     /** How long the process waits at its end for the last log lines to be written. */
     private static final long LOG_FLUSH_TIMEOUT_MS = 50;
     private static final AsyncLogStream LOG = AsyncLogStream.install();
+    private static final ProcessExit EXIT = new ProcessExit(Main::halt);
 
     private Main() { }
 
     /**
      * Runs the sidecar until SIGTERM. With the argument {@code rehearse} it exits after the warm-up, which
      * checks a configuration and lets the build find out which classes belong in the class data archive. An
-     * invalid configuration ends the process with one log line and exit status 2.
+     * invalid configuration ends the process with one log line and exit status 2, a failed start or the end
+     * of the event loop with status 1.
      */
     public static void main(String[] args) {
         String configFile = System.getenv("PROXY_CONFIG");
@@ -38,31 +40,22 @@
             }
             config = IoRetry.retryOnIoException(MAX_START_RETRY_MS, () -> Config.read(Path.of(configFile)));
         } catch (RuntimeException | IOException e) {
-            System.err.println("pondridge: configuration: " + e.getMessage());
-            halt(2);
+            EXIT.rejectConfiguration(e.getMessage());
             return;
         }
         EventLoopMonitor monitor = new EventLoopMonitor();
         EventLoop loop = EventLoops.create(monitor);
+        EXIT.watch(loop);
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
         loop.execute(() -> {
             try {
                 start(loop, monitor, config, Path.of(configFile), rehearsal);
             } catch (RuntimeException | Error e) {
-                failStart("start: " + e);
+                EXIT.fail("start: " + e);
             }
         });
     }
 
-    /**
-     * Ends the process with one log line and exit status 1 after a failed start, so that no process stays
-     * that never becomes ready.
-     */
-    private static void failStart(String message) {
-        System.err.println("pondridge: " + message);
-        halt(1);
-    }
-
     /** Ends the process without its shutdown hooks, after the last log lines are written. */
     private static void halt(int status) {
         LOG.awaitWritten(LOG_FLUSH_TIMEOUT_MS);
@@ -84,7 +77,7 @@
             addShutdownHook(loop, config, dispatcher, frontend);
             WarmUp.run(loop, config.settingsReader(), address,
                     rehearsal ? Main::exitAfterRehearsal : () -> ready(config, frontend),
-                    e -> failStart("warm-up: " + e));
+                    e -> EXIT.fail("warm-up: " + e));
         });
     }
 
@@ -96,7 +89,7 @@
             Consumer<InetSocketAddress> onListening) {
         Consumer<Throwable> onFailure = cause -> {
             if (System.nanoTime() >= retryUntil) {
-                failStart("listen: " + cause.getMessage());
+                EXIT.fail("listen: " + cause.getMessage());
             } else {
                 loop.schedule(() -> listen(loop, config, frontend, retryUntil, onListening),
                         LISTEN_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
@@ -133,12 +126,6 @@
         long maxDeadlineMs = config.settingsReader().settings().classes().stream()
                 .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
         GracefulShutdown shutdown = new GracefulShutdown(loop, dispatcher, frontend, maxDeadlineMs);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                shutdown.run();
-            } finally {
-                halt(0);
-            }
-        }));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> EXIT.shutDown(loop, shutdown::run)));
     }
 }
