Open the watch at a new address of discovery at once, also after failed calls

What callers saw: with "discovery: subscribe", a sidecar whose calls had failed went on waiting, up to half of askWithin, when SIGHUP named a new address, and used an old list meanwhile.

Cause: the change of the address ended an open call as failed, which is one more failure to wait after; without an open call it did nothing.

Evidence: DiscoveryClientTest#aNewAddressWasNotUsedAfterAFailedCall saw no call at the new address within 3 s before, and passes now.

Fix: the client knows whether a watch is wanted, and opens it at the new address.

--- a/src/main/java/pondridge/sidecar/DiscoveryClient.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryClient.java
@@ -117,6 +117,8 @@
     private long revision;
     /** The open watch, or null. */
     private DiscoveryCall watch;
+    /** Whether a watch is to be open; one that has failed is opened again by this client or its user. */
+    private boolean watchWanted;
     /** Whether a failed watch is opened again automatically. */
     private boolean keepWatchOpen;
     private long retryDelayMs = MIN_RETRY_DELAY_MS;
@@ -173,6 +175,7 @@
 
     /** Closes the current watch, if any; if {@code enabled}, opens one from the last known revision on. */
     void watch(boolean enabled) {
+        watchWanted = enabled;
         if (watch != null) {
             watch.close();
             watch = null;
@@ -184,16 +187,14 @@
     }
 
     /**
-     * Uses another address from now on and keeps the last known revision. An open watch is opened again in
-     * automatic mode; otherwise it ends as a failed call.
+     * Uses another address from now on and keeps the last known revision. If a watch is open, or is to be
+     * opened again after a failure, one is opened there at once.
      */
     void changeAddress(InetSocketAddress newAddress) {
         address = newAddress;
         retryDelayMs = MIN_RETRY_DELAY_MS;
-        if (keepWatchOpen) {
+        if (watchWanted) {
             watch(true);
-        } else if (watch != null) {
-            watch.fail();
         }
     }
 
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -143,6 +143,19 @@
         }
     }
 
+    /** After a failed call, a new address was used only when the balancer renewed the watch. */
+    @Test
+    void aNewAddressWasNotUsedAfterAFailedCall() throws Exception {
+        try (FakeUpstream failing = new FakeUpstream((socket, head) -> false);
+                FakeUpstream server = new FakeUpstream((socket, head) -> true)) {
+            DiscoveryClient discoveryClient = clientOf(failing);
+            loop.execute(() -> discoveryClient.watch(true));
+            assertEquals(ListUpdateType.FAILED, FakeUpstream.next(updates).type);
+            loop.execute(() -> discoveryClient.changeAddress(server.address()));
+            assertTrue(FakeUpstream.next(server.heads).startsWith("GET /discovery/hosts?watch=1"));
+        }
+    }
+
     @Test
     void wholeListIsFetchedOnce() throws Exception {
         String body = "{\"rev\":41,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
