Call discovery at least every 150 ms while its watch is broken

What callers saw: after an outage of discovery, attempts went to an upstream that drains 0.31 to 0.44 s after the return, where 0.3 s are allowed.

Cause: the delay before the next call doubled up to 800 ms, and discovery that comes back during it is heard of only after it.

Evidence: DiscoveryClientTest#discoveryWasCalledTooRarelyAfterAnOutage takes the shortest of three delays after an outage: 804 ms before. It passes now.

Fix: the longest delay is 150 ms, half of what is allowed. The agent is on the same machine, and a call costs nothing.

--- a/src/main/java/pondridge/sidecar/DiscoveryClient.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryClient.java
@@ -53,7 +53,8 @@
      * the discovery agent runs on the same machine and a call to it costs nothing.
      */
     private static final long MIN_RETRY_DELAY_MS = 50;
-    private static final long MAX_RETRY_DELAY_MS = 800;
+    /** Once discovery is back, an upstream that drains may get attempts for 0.3 s. */
+    private static final long MAX_RETRY_DELAY_MS = 150;
 
     /**
      * One upstream as discovery lists it, still with discovery's names of upstream, zone and model.
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -18,6 +18,9 @@
 
 /** Runs the client against a fake discovery service that sends split, invalid and incomplete responses. */
 class DiscoveryClientTest {
+    private static final int CALLS_TO_LONGEST_DELAY = 6;
+    /** For how long after its drain is known to discovery an upstream may still get attempts. */
+    private static final long MAX_DRAIN_DELAY_NANOS = 300_000_000;
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String DELTA_START =
             "{\"rev\":43,\"all\":false,\"targets\":[" + entry("DRAINING") + ",";
@@ -156,6 +159,28 @@
         }
     }
 
+    /** After an outage the list came so late that draining upstreams got attempts for too long. */
+    @Test
+    void discoveryWasCalledTooRarelyAfterAnOutage() throws Exception {
+        BlockingQueue<Long> callTimes = new LinkedBlockingQueue<>();
+        try (FakeUpstream failing = new FakeUpstream((socket, head) -> !callTimes.add(System.nanoTime()))) {
+            DiscoveryClient discoveryClient = clientOf(failing);
+            loop.execute(discoveryClient::keepWatchOpen);
+            for (int i = 0; i < CALLS_TO_LONGEST_DELAY; i++) {
+                FakeUpstream.next(callTimes);
+            }
+            long previousAt = FakeUpstream.next(callTimes);
+            long shortestNanos = Long.MAX_VALUE;
+            for (int i = 0; i < 3; i++) {
+                long calledAt = FakeUpstream.next(callTimes);
+                shortestNanos = Math.min(shortestNanos, calledAt - previousAt);
+                previousAt = calledAt;
+            }
+            assertTrue(shortestNanos < MAX_DRAIN_DELAY_NANOS,
+                    "called after " + shortestNanos / 1_000_000 + " ms at the earliest");
+        }
+    }
+
     @Test
     void wholeListIsFetchedOnce() throws Exception {
         String body = "{\"rev\":41,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
