Write no repeat of a keyed request once upstreams have forgotten its key

What callers saw: with a window of 0.6 s and a connection that came up after 1 s, a keyed request that had already run was written again, and ran twice.

Cause: the window was compared with the time of the decision only; the write follows up to the connect timeout later.

Fix: the dispatcher keeps when the key is forgotten, counted from the first attempt that may have run, and checks it when the request is written.

--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -129,6 +129,8 @@
         private boolean finished;
         /** Whether an attempt ended with an outcome that does not rule out that the upstream ran it. */
         private boolean mayHaveRun;
+        /** When upstreams forget the request's key, so that it must not be written again. */
+        private long keyForgottenAt = Long.MAX_VALUE;
 
         PendingRequest(ClientRequest clientRequest, ClientCallback client, RequestClass requestClass) {
             this.clientRequest = clientRequest;
@@ -140,6 +142,17 @@
         boolean isSafeToRetry() {
             return requestClass.semantics() != Semantics.ONCE || !mayHaveRun;
         }
+
+        /** Records the outcome of an attempt; times as in {@link RequestDispatcher#now}. */
+        private void attemptEnded(Outcome outcome, long sentAt) {
+            if (outcome.provesNeverRan()) {
+                return;
+            }
+            mayHaveRun = true;
+            if (requestClass.semantics() == Semantics.BY_KEY) {
+                keyForgottenAt = Math.min(keyForgottenAt, sentAt + requestClass.keyTtl());
+            }
+        }
     }
 
     private final EventLoop loop;
@@ -478,7 +491,8 @@
         }
         pending.attempts.add(null);
         pending.attempts.set(attemptIndex, upstreamClient.send(upstream,
-                timeLeft -> toUpstreamRequest(pending.clientRequest, timeLeft), attemptTimeout,
+                timeLeft -> now() >= pending.keyForgottenAt ? null
+                        : toUpstreamRequest(pending.clientRequest, timeLeft), attemptTimeout,
                 (outcome, response, loadReport) ->
                         onAttemptEnded(request, pending, attemptIndex, upstream, now, outcome, response,
                                 loadReport)));
@@ -510,7 +524,7 @@
             }
             pending.attemptsInFlight--;
             pending.attemptLog.get(attemptIndex).ended(outcome, now);
-            pending.mayHaveRun |= !outcome.provesNeverRan();
+            pending.attemptEnded(outcome, sentAt);
             if (outcome == Outcome.OK && !pending.finished) {
                 finish(id, pending, () -> pending.client.onServed(response));
             } else {
--- a/src/main/java/pondridge/sidecar/UpstreamClient.java
+++ b/src/main/java/pondridge/sidecar/UpstreamClient.java
@@ -50,6 +50,7 @@
 
     /** Creates the HTTP request of an attempt when it is written, so that it states the time left then. */
     interface RequestFactory {
+        /** Returns null if the request must not be written any more; the attempt then ends as never sent. */
         FullHttpRequest create(long timeLeftNanos);
     }
 
@@ -396,6 +397,10 @@
             currentAttempt = attempt;
             attempt.connection = this;
             FullHttpRequest request = attempt.requestFactory.create(attempt.expiresAt - System.nanoTime());
+            if (request == null) {
+                attempt.end(Outcome.NEVER_SENT);
+                return;
+            }
             isLoadProbe = request.uri().equals(LOAD_PATH);
             if (!used) {
                 decoder.expectResponse();
--- a/src/test/java/pondridge/sidecar/UpstreamClientTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamClientTest.java
@@ -76,7 +76,7 @@
     }
 
     /** Fills the accept queue of a server socket, so that further connects get no reply. */
-    private static List<Socket> fillBacklog(ServerSocket server) throws IOException {
+    static List<Socket> fillBacklog(ServerSocket server) throws IOException {
         List<Socket> fillers = new ArrayList<>();
         while (true) {
             Socket filler = new Socket();
