--- a/src/main/java/pondridge/sidecar/EventLoopMonitor.java
+++ b/src/main/java/pondridge/sidecar/EventLoopMonitor.java
@@ -14,10 +14,10 @@
 
 /**
  * Measures for how long received bytes may have been unread because the event loop was busy, or because the
- * process was stopped. A client's deadline runs from the time at which it sent the request, not from the time
- * at which the sidecar read it. The monitor wraps the loop's I/O handler to see when it polls the sockets; one
- * call of {@link IoHandler#run} is a poll. A heartbeat limits how long the selector waits: a longer wait shows
- * that the whole process was stopped meanwhile. Used on the event loop only.
+ * process was stopped. A client's deadline runs from the time at which it sent the request, not from the
+ * time at which the sidecar read it. The monitor wraps the loop's I/O handler to see when it polls the
+ * sockets; one call of {@link IoHandler#run} is a poll. A heartbeat limits how long the selector waits: a
+ * longer wait shows that the whole process was stopped meanwhile. Used on the event loop only.
  */
 final class EventLoopMonitor {
     /** If the first event comes later than this after a poll's start, the selector has waited for it. */
--- a/src/main/java/pondridge/sidecar/UpstreamClient.java
+++ b/src/main/java/pondridge/sidecar/UpstreamClient.java
@@ -491,10 +491,11 @@
         }
 
         /**
-         * Closes the connection if bytes have come that belong to no request, at the latest after the response
-         * that is being received. Such bytes may be the begin of a surplus response, whose rest would be taken
-         * from the response to the next request. On a connection that has been used before, bytes that come
-         * before a request has been written are such, too: they can't be told from an early response.
+         * Closes the connection if bytes have come that belong to no request, at the latest after the
+         * response that is being received. Such bytes may be the beginning of a surplus response, whose rest
+         * would be taken from the response to the next request. On a connection that has been used before,
+         * bytes that come before a request has been written count as such: they can't be told from an early
+         * response.
          */
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
--- a/src/test/java/pondridge/sidecar/ProcessExitTest.java
+++ b/src/test/java/pondridge/sidecar/ProcessExitTest.java
@@ -34,7 +34,8 @@
     private Process start(FakeUpstream upstream, Path log) throws Exception {
         Path configuration = folder.resolve("config.json");
         String address = "127.0.0.1:" + DeployedProcess.freeAddress().getPort();
-        Files.writeString(configuration, SidecarHarness.configJson(upstream).put("listen", address).toString());
+        Files.writeString(configuration,
+                SidecarHarness.configJson(upstream).put("listen", address).toString());
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), EndingLoopMain.class.getName(), address);
