--- /dev/null
+++ b/review/common-2/Case.java
@@ -0,0 +1,58 @@
+package review2;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/** Runs one case: its exit status is 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+final class Case {
+    /** Judges one run; returns whether the rule held. */
+    interface Run {
+        boolean holds(Recording record, boolean trouble) throws Exception;
+    }
+
+    private Case() { }
+
+    /** Runs a case by its name and writes its record to a file. */
+    public static void main(String[] args) throws Exception {
+        Recording record = new Recording(Path.of(args[1]));
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        record.say("case " + args[0] + (trouble ? "" : ", without the disruption"));
+        Run run = switch (args[0]) {
+            case "restart" -> DrainCases::restartWhileDiscoveryIsDown;
+            case "reload" -> DrainCases::silentWatchAfterReload;
+            case "outage" -> DrainCases::outageOfAskedDiscovery;
+            case "memory" -> MemoryLimit::run;
+            case "improper" -> ImproperRequests::run;
+            default -> throw new IllegalArgumentException("unknown case " + args[0]);
+        };
+        int status;
+        try {
+            boolean held = run.holds(record, trouble);
+            record.say(held ? "rule held" : "RULE BROKEN");
+            status = held ? 0 : 1;
+        } catch (Exception e) {
+            record.say("the case couldn't run: " + e);
+            e.printStackTrace();
+            status = 2;
+        }
+        System.exit(status);
+    }
+
+    /**
+     * Judges the rule on drains: nothing new to an upstream later than the grace of the settings after it
+     * counts as told, and 50 ms more, as for each time limit on real sockets.
+     */
+    static boolean drainKept(Recording record, Upstream draining, double toldMs, double graceMs) {
+        List<Upstream.Arrival> late = draining.arrivals.stream()
+                .filter(arrival -> arrival.atMs() > toldMs + graceMs + 50).toList();
+        for (Upstream.Arrival arrival : late) {
+            record.add("late: " + arrival.request().header("req-id") + " reached " + draining.uid + " "
+                    + Math.round(arrival.atMs() - toldMs) + " ms after it counted as told");
+        }
+        record.say(late.size() + " requests reached " + draining.uid + " more than "
+                + Math.round(graceMs + 50) + " ms after it counted as told that it drains"
+                + (late.isEmpty() ? "" : ", the last one " + Math.round(late.get(late.size() - 1).atMs()
+                - toldMs) + " ms after"));
+        return late.isEmpty();
+    }
+}
--- /dev/null
+++ b/review/common-2/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins and cases of the second review: clients, upstreams, discovery and the platform. */
+package review2;
