--- a/review/common-2/Case.java
+++ b/review/common-2/Case.java
@@ -1,7 +1,6 @@
 package review2;
 
 import java.nio.file.Path;
-import java.util.List;
 
 /** Runs one case: its exit status is 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 final class Case {
@@ -37,22 +36,4 @@
         }
         System.exit(status);
     }
-
-    /**
-     * Judges the rule on drains: nothing new to an upstream later than the grace of the settings after it
-     * counts as told, and 50 ms more, as for each time limit on real sockets.
-     */
-    static boolean drainKept(Recording record, Upstream draining, double toldMs, double graceMs) {
-        List<Upstream.Arrival> late = draining.arrivals.stream()
-                .filter(arrival -> arrival.atMs() > toldMs + graceMs + 50).toList();
-        for (Upstream.Arrival arrival : late) {
-            record.add("late: " + arrival.request().header("req-id") + " reached " + draining.uid + " "
-                    + Math.round(arrival.atMs() - toldMs) + " ms after it counted as told");
-        }
-        record.say(late.size() + " requests reached " + draining.uid + " more than "
-                + Math.round(graceMs + 50) + " ms after it counted as told that it drains"
-                + (late.isEmpty() ? "" : ", the last one " + Math.round(late.get(late.size() - 1).atMs()
-                - toldMs) + " ms after"));
-        return late.isEmpty();
-    }
 }
--- a/review/common-2/DrainCases.java
+++ b/review/common-2/DrainCases.java
@@ -124,6 +124,9 @@
             before.stopListening();
             run.sleepUntil(signalAt + 1500);
             before.mode(Discovery.Mode.REFUSING);
+            if (after.calls == 0) {
+                throw new IllegalStateException("no reload: was the case started with SIGHUP ignored?");
+            }
             return run.endAndJudge(loads, signalAt + 4000, signalAt + 4800);
         }
     }
--- a/review/common-2/Sidecar.java
+++ b/review/common-2/Sidecar.java
@@ -121,7 +121,7 @@
 
     /** Sends a signal, such as HUP or TERM. */
     void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
     }
 
     @Override
