--- a/review/common-2/DrainCases.java
+++ b/review/common-2/DrainCases.java
@@ -31,7 +31,7 @@
     }
 
     private Loads load(Sidecar sidecar, String prefix) throws InterruptedException {
-        return new Loads(CLIENTS, sidecar, prefix, PAUSE_MS, 2, record);
+        return new Loads(CLIENTS, sidecar, prefix, PAUSE_MS, false, 2, record);
     }
 
     private void sleepUntil(double atMs) throws InterruptedException {
--- a/review/common-2/Load.java
+++ b/review/common-2/Load.java
@@ -15,8 +15,8 @@
 
     final AtomicInteger unanswered = new AtomicInteger();
 
-    /** Starts to send to a sidecar. */
-    Load(int port, String prefix, long pauseMs, Recording record, int bodyBytes) {
+    /** Starts to send to a sidecar; in step, all clients send at the same moments, one pause apart. */
+    Load(int port, String prefix, long pauseMs, boolean inStep, Recording record, int bodyBytes) {
         thread = Server.daemon(() -> {
             Socket connection = null;
             while (!stopped) {
@@ -50,7 +50,7 @@
                     connection = null;
                 }
                 record.add("client: " + id + " -> " + answer);
-                Thread.sleep(pauseMs);
+                Thread.sleep(inStep ? pauseMs - System.currentTimeMillis() % pauseMs : pauseMs);
             }
         });
     }
--- a/review/common-2/Loads.java
+++ b/review/common-2/Loads.java
@@ -8,12 +8,12 @@
 final class Loads implements AutoCloseable {
     private final List<Load> loads = new ArrayList<>();
 
-    /** Starts clients whose requests have bodies of some bytes. */
-    Loads(int count, Sidecar sidecar, String prefix, long pauseMs, int bodyBytes, Recording record)
-            throws InterruptedException {
+    /** Starts clients whose requests have bodies of some bytes, and that send in step or by turns. */
+    Loads(int count, Sidecar sidecar, String prefix, long pauseMs, boolean inStep, int bodyBytes,
+            Recording record) throws InterruptedException {
         for (int i = 0; i < count; i++) {
-            loads.add(new Load(sidecar.port, prefix + i + "-", pauseMs, record, bodyBytes));
-            Thread.sleep(pauseMs / count);
+            loads.add(new Load(sidecar.port, prefix + i + "-", pauseMs, inStep, record, bodyBytes));
+            Thread.sleep(inStep ? 0 : pauseMs / count);
         }
     }
 
--- a/review/common-2/MemoryLimit.java
+++ b/review/common-2/MemoryLimit.java
@@ -4,8 +4,9 @@
 final class MemoryLimit {
     /** Inside what the terms allow, and the lowest that the deploy file calls within reach. */
     private static final int MEMORY_MB = 64;
-    private static final int CLIENTS = 160;
-    private static final long PAUSE_MS = 700;
+    /** Each sends one request in each second, all at the same moments. */
+    private static final int CLIENTS = 80;
+    private static final long PAUSE_MS = 1000;
     private static final int LONG_BODY = 1 << 16;
 
     private MemoryLimit() { }
@@ -33,7 +34,7 @@
             if (readyMb < 1 || readyMb > MEMORY_MB) {
                 throw new IllegalStateException("memory can't be read, or is over the limit without load");
             }
-            Loads loads = new Loads(CLIENTS, sidecar, "c", PAUSE_MS, bytes, record);
+            Loads loads = new Loads(CLIENTS, sidecar, "c", PAUSE_MS, true, bytes, record);
             for (int i = 0; i < 600 && !killed; i++) {
                 double mb = sidecar.privateMemoryMb();
                 peakMb = Math.max(peakMb, mb);
