End a review case's processes when its script is stopped; tell a failed start apart

Cause: SIGTERM to run.sh alone left the stand-ins and the sidecar running, and a case that could not start ended with 1, as if the rule were broken (a record that can't be written did). Change: run.sh passes HUP, INT and TERM on and waits; a broken rule is status 10 of the stand-in, which run.sh turns into 1, and anything else but 0 into 2.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,12 @@
     echo "first run the deploy file's build, then review/build-2.sh" >&2
     exit 2
 fi
-timeout -k 5 110 java -cp target/review-2 review2.Case restart review/7/record.txt
-status=$?
-[ "$status" -le 1 ] || exit 2
-exit "$status"
+timeout -k 5 110 java -cp target/review-2 review2.Case restart review/7/record.txt &
+child=$!
+trap 'kill "$child"; wait "$child"; exit 2' HUP INT TERM
+wait "$child"
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;  # broken; a JVM that fails to start exits with 1
+    *) exit 2 ;;
+esac
--- a/review/common-2/Case.java
+++ b/review/common-2/Case.java
@@ -2,13 +2,16 @@
 
 import java.nio.file.Path;
 
-/** Runs one case: its exit status is 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+/** Runs one case: its exit status is 10 if the rule was broken, 0 if it held, else it couldn't run. */
 final class Case {
     /** Judges one run; returns whether the rule held. */
     interface Run {
         boolean holds(Recording record, boolean trouble) throws Exception;
     }
 
+    /** Not 1, with which a JVM ends that can't start; run.sh turns it into 1. */
+    private static final int BROKEN = 10;
+
     private Case() { }
 
     /** Runs a case by its name and writes its record to a file. */
@@ -28,7 +31,7 @@
         try {
             boolean held = run.holds(record, trouble);
             record.say(held ? "rule held" : "RULE BROKEN");
-            status = held ? 0 : 1;
+            status = held ? 0 : BROKEN;
         } catch (Exception e) {
             record.say("the case couldn't run: " + e);
             e.printStackTrace();
