Mend a race of the tests' fake upstream: flush no socket that may be closed

The surplus bytes had been written; the sidecar closed the connection, as the test wants, the fake upstream's reading thread then closed the socket, and write() asked the closed socket for its stream once more in order to flush it. The stream is now taken once, before the write. The test asserts the same as before.

--- a/src/test/java/pondridge/sidecar/FakeUpstream.java
+++ b/src/test/java/pondridge/sidecar/FakeUpstream.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -62,8 +63,10 @@
     }
 
     static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
+        // Taken once: the other side may close the connection, and serve() the socket, after the write.
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
     }
 
     /** Makes the close of a connection a TCP reset; returns false, for the script to return. */
