Use the known list only once discovery has responded, and be ready then

Cause: the balancer got the list of the configuration at the start, before discovery had responded, and readiness waited for the warm-up only. What the agent has counts as told from the first moment of a new process. Readiness alone is not enough: in the case discovery comes back only after /up has responded 200.

DiscoveryClient now releases the known list together with the first response; until then the balancer has no upstreams and refuses requests.

The tests' harness had an address of discovery at which nobody listens, so that all its sidecars worked on a list that nobody had confirmed; they now watch a stand-in that reports no change. In drainingUpstreamGetsNoRequestsAndAnEnded- WatchIsRenewed the stand-in confirms the list before it reports the drain; its checks are unchanged.

--- a/src/main/java/pondridge/sidecar/DiscoveryClient.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryClient.java
@@ -113,6 +113,9 @@
     private final Dialer dialer;
     private InetSocketAddress address;
     private final BiConsumer<ListUpdateType, List<ListEntry>> listener;
+    private final List<ListEntry> cachedEntries;
+    /** Whether discovery has responded to a call; before that, the cached list may be out of date. */
+    private boolean everResponded;
     /** The last valid entry of each listed upstream, by uid. */
     private final Map<String, ListEntry> lastValidEntries = new HashMap<>();
     private long revision;
@@ -127,9 +130,11 @@
     /**
      * Creates a client that opens no connection yet.
      *
-     * @param cachedList the list from the configuration, which counts as the last one received
-     * @param listener called on the event loop with each list or change of it, and with
-     *     {@link ListUpdateType#FAILED} once for each call that failed and is not retried automatically
+     * @param cachedList the list from the configuration, which counts as the last one received. An upstream
+     *     may have drained since, so that the listener gets it only when discovery has responded
+     * @param listener called on the event loop with the cached list and then the first response, with each
+     *     later list or change of it, and with {@link ListUpdateType#FAILED} once for each call that failed
+     *     and is not retried automatically
      */
     DiscoveryClient(EventLoop loop, InetSocketAddress address, UpstreamList cachedList,
             BiConsumer<ListUpdateType, List<ListEntry>> listener) {
@@ -137,6 +142,7 @@
         this.dialer = new Dialer(loop, CONNECT_TIMEOUT_MS);
         this.address = address;
         this.revision = cachedList.revision();
+        this.cachedEntries = cachedList.entries();
         applyUpdate(cachedList);
         this.listener = listener;
     }
@@ -204,6 +210,13 @@
         new DiscoveryCall(false).open();
     }
 
+    /** For the log. */
+    @Override
+    public String toString() {
+        return "rev " + revision + (everResponded ? "" : " not confirmed yet")
+                + (watch == null ? ", no watch" : "");
+    }
+
     /** One HTTP call on a connection of its own: a watch, or a fetch of the whole list. */
     private final class DiscoveryCall extends SimpleChannelInboundHandler<HttpObject>
             implements Dialer.Listener {
@@ -297,6 +310,10 @@
         private void responseReceived() {
             responded = true;
             retryDelayMs = MIN_RETRY_DELAY_MS;
+            if (!everResponded) {
+                everResponded = true;
+                listener.accept(ListUpdateType.CACHED, cachedEntries);
+            }
         }
 
         @Override
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -101,7 +101,7 @@
         return finishing;
     }
 
-    /** Lets {@code /up} respond 200; called once the warm-up has finished. */
+    /** Lets {@code /up} respond 200; called once, see {@link Readiness}. */
     void markReady() {
         ready = true;
     }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -70,13 +70,14 @@
         RequestDispatcher dispatcher = new RequestDispatcher(loop, config, config.maxSockets() / 2);
         Frontend frontend = new Frontend(dispatcher, monitor, config.settingsReader(),
                 config.maxSockets() * 3 / 8);
-        dispatcher.start(config.cachedList());
+        Readiness readiness = new Readiness(loop, listReceived -> ready(config, frontend, listReceived));
+        dispatcher.start(readiness::listReceived);
         SighupHandler.handle(new ConfigReloader(loop, configFile, dispatcher));
         long retryUntil = System.nanoTime() + MAX_START_RETRY_MS * 1_000_000;
         listen(loop, config, frontend, retryUntil, address -> {
             addShutdownHook(loop, config, dispatcher, frontend);
             WarmUp.run(loop, config.settingsReader(), address,
-                    rehearsal ? Main::exitAfterRehearsal : () -> ready(config, frontend),
+                    rehearsal ? Main::exitAfterRehearsal : readiness::warmedUp,
                     e -> EXIT.fail("warm-up: " + e));
         });
     }
@@ -110,9 +111,10 @@
     }
 
     /** Reports that the sidecar is ready, to clients and in the log. */
-    private static void ready(Config config, Frontend frontend) {
+    private static void ready(Config config, Frontend frontend, boolean listReceived) {
         frontend.markReady();
-        System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
+        System.err.println("pondridge: " + config.name() + " ready at " + config.listen() + (listReceived
+                ? "" : "; discovery has not responded, and requests are refused until it does"));
     }
 
     /** Exits on a thread of its own, since the shutdown hook needs the event loop. */
--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -181,6 +181,8 @@
      * positive start time. A start time of 0 means "long ago".
      */
     private final long clockOffset = TimeUnit.DAYS.toNanos(CLOCK_START_DAYS) - System.nanoTime();
+    /** Called when the balancer has got its first list; null after that. */
+    private Runnable onFirstList;
     /** Whether {@link #deliver} is running. */
     private boolean deliveringEvents;
     private long lastRequestId;
@@ -206,11 +208,16 @@
         config.settingsReader().list("kinds").forEach(model -> indexOf(modelIndices, model));
     }
 
-    /** Starts the balancer with the cached list of upstreams, then discovery and peer messages. */
-    void start(DiscoveryClient.UpstreamList cachedList) {
+    /**
+     * Starts the balancer, discovery and peer messages. The balancer has no upstreams, and so refuses all
+     * requests, until discovery has responded: an upstream of the cached list may have drained since.
+     *
+     * @param onList called once, when the balancer has got its first list
+     */
+    void start(Runnable onList) {
+        this.onFirstList = onList;
         readClocks();
         deliver(balancer::start);
-        onListUpdate(ListUpdateType.CACHED, cachedList.entries());
         if (automaticDiscovery) {
             discoveryClient.keepWatchOpen();
         }
@@ -227,8 +234,8 @@
 
     private void logState() {
         long now = now();
-        System.err.println("state: " + pendingRequestCount() + " requests open, "
-                + upstreamClient.connectionCount() + " connections to upstreams, stalls up to "
+        System.err.println("state: " + pendingRequestCount() + " requests open, list " + discoveryClient
+                + ", " + upstreamClient.connectionCount() + " connections to upstreams, stalls up to "
                 + stallEstimator.estimateNanos(now) / 1_000_000 + " ms; memory: "
                 + ProcessMemory.describe() + ", " + memoryBudget + "; guard: "
                 + guard + "; " + balancer.describeState(now));
@@ -325,9 +332,20 @@
             balancer.listUpdated(now, updateType, upstreams);
             upstreamNames.keySet().removeAll(removed);
             startTimeConverter.forget(removed);
+            if (updateType != ListUpdateType.CACHED && updateType != ListUpdateType.FAILED) {
+                reportFirstList();
+            }
         });
     }
 
+    private void reportFirstList() {
+        Runnable listener = onFirstList;
+        onFirstList = null;
+        if (listener != null) {
+            listener.run();
+        }
+    }
+
     /**
      * Submits a request. The client may get its final response before this method returns. The request's
      * memory is released when the request has ended and none of its attempts is in flight.
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -20,6 +20,9 @@
  * the deploy file.
  */
 class DeployedIT {
+    /** Of ten restarted sidecars, nine have to be ready within this time. */
+    private static final long MAX_TIME_TO_READY_MS = 10_000;
+
     @TempDir
     private Path directory;
     private DeployedProcess deployed;
@@ -112,6 +115,33 @@
         }
     }
 
+    /**
+     * An outage of discovery may last longer than a sidecar may take to become ready. Requests are refused
+     * then, since an upstream of the known list may have drained, until discovery is back.
+     */
+    @Test
+    void runIsReadyInTimeWithoutDiscoveryAndRefusesUntilItIsBack() throws Exception {
+        CountDownLatch discoveryUp = new CountDownLatch(1);
+        try (FakeUpstream upstream = FakeUpstream.serving("x");
+                FakeUpstream discovery = new FakeUpstream((socket, head) ->
+                        FakeUpstream.await(discoveryUp) && SidecarHarness.sendHeartbeats(socket))) {
+            InetSocketAddress address = DeployedProcess.freeAddress();
+            long startedAt = System.nanoTime();
+            start("run", SidecarHarness.configJson(upstream).put("listen", "127.0.0.1:" + address.getPort())
+                    .put("discovery", discovery.endpoint()));
+            deployed.awaitUp(address);
+            long elapsedMs = (System.nanoTime() - startedAt) / 1_000_000;
+            assertTrue(elapsedMs < MAX_TIME_TO_READY_MS, "ready after " + elapsedMs + " ms");
+            try (SidecarHarness.Client client = new SidecarHarness.Client(address)) {
+                assertEquals(503, client.exchange(SidecarHarness.safeRequest("a")).status());
+                assertEquals(0, upstream.heads.size());
+                discoveryUp.countDown();
+                Await.until(() -> client.exchange(SidecarHarness.safeRequest("b")).status() == 200,
+                        () -> "refused although discovery is back");
+            }
+        }
+    }
+
     @Test
     void invalidConfigurationExitsWithOneLineNamingTheKey() throws Exception {
         ObjectNode json = SidecarHarness.configJson();
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -9,8 +9,11 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.ListUpdateType;
@@ -47,11 +50,53 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
+    /** A client that has an empty cached list; its release after the first response is not recorded. */
     private DiscoveryClient clientOf(FakeUpstream server) {
-        DiscoveryClient.UpstreamList cachedList =
-                new DiscoveryClient.UpstreamList(41, true, List.of(), Set.of());
-        return new DiscoveryClient(loop, server.address(), cachedList,
-                (type, entries) -> updates.add(new ListUpdate(type, entries)));
+        return clientOf(server, List.of(), (type, entries) -> {
+            if (type != ListUpdateType.CACHED) {
+                updates.add(new ListUpdate(type, entries));
+            }
+        });
+    }
+
+    private DiscoveryClient clientOf(FakeUpstream server, List<DiscoveryClient.ListEntry> cachedEntries,
+            BiConsumer<ListUpdateType, List<DiscoveryClient.ListEntry>> listener) {
+        return new DiscoveryClient(loop, server.address(),
+                new DiscoveryClient.UpstreamList(41, true, cachedEntries, Set.of()), listener);
+    }
+
+    /**
+     * An upstream of the cached list may have drained while the sidecar was away. The list is released only
+     * with the first response, and after failed calls it is not.
+     */
+    @Test
+    void theCachedListWasUsedBeforeDiscoveryHadResponded() throws Exception {
+        CountDownLatch respond = new CountDownLatch(1);
+        AtomicInteger calls = new AtomicInteger();
+        try (FakeUpstream server = new FakeUpstream((socket, head) -> {
+            if (calls.incrementAndGet() == 1) {
+                return false;
+            }
+            FakeUpstream.write(socket, CHUNKED);
+            FakeUpstream.await(respond);
+            FakeUpstream.write(socket, chunk("\n") + chunk("\n"));
+            return true;
+        })) {
+            DiscoveryClient.ListEntry cached = DiscoveryClient.UpstreamList.of(Config.JSON.readTree(
+                    "{\"rev\":41,\"all\":true,\"targets\":[" + entry("SERVING") + "]}")).entries().get(0);
+            DiscoveryClient discoveryClient = clientOf(server, List.of(cached),
+                    (type, entries) -> updates.add(new ListUpdate(type, entries)));
+            loop.execute(() -> discoveryClient.watch(true));
+            assertEquals(new ListUpdate(ListUpdateType.FAILED, List.of()), FakeUpstream.next(updates));
+            loop.execute(() -> discoveryClient.watch(true));
+            FakeUpstream.next(server.heads);
+            FakeUpstream.next(server.heads);
+            loop.submit(() -> { }).sync();
+            assertEquals(0, updates.size(), "before the first response");
+            respond.countDown();
+            assertEquals(new ListUpdate(ListUpdateType.CACHED, List.of(cached)), FakeUpstream.next(updates));
+            assertEquals(new ListUpdate(ListUpdateType.DELTA, List.of()), FakeUpstream.next(updates));
+        }
     }
 
     /** A line may span chunks, a chunk may hold several lines, and only the invalid entries are skipped. */
--- a/src/test/java/pondridge/sidecar/FakeUpstream.java
+++ b/src/test/java/pondridge/sidecar/FakeUpstream.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -82,6 +83,15 @@
         return thread;
     }
 
+    /** Waits for a latch; returns false, for the script to return, if the test ends before. */
+    static boolean await(CountDownLatch latch) {
+        try {
+            return latch.await(TIMEOUT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            return false;
+        }
+    }
+
     /** Takes the next entry of a queue; fails the test if none comes within the timeout. */
     static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
         T next = queue.poll(TIMEOUT_S, TimeUnit.SECONDS);
--- a/src/test/java/pondridge/sidecar/SidecarHarness.java
+++ b/src/test/java/pondridge/sidecar/SidecarHarness.java
@@ -1,5 +1,7 @@
 package pondridge.sidecar;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.Bootstrap;
@@ -32,16 +34,36 @@
     final Frontend frontend;
     final RequestDispatcher dispatcher;
     final InetSocketAddress address;
+    private final CountDownLatch listReceived = new CountDownLatch(1);
+
+    /** Discovery for tests that need no changes of the list: confirms each sidecar's known list. */
+    private static final FakeUpstream UNCHANGED_DISCOVERY =
+            new FakeUpstream((socket, head) -> sendHeartbeats(socket));
+    private static final long HEARTBEAT_INTERVAL_MS = 2_000;
 
     /** A response as the client received it. */
     record Response(int status, String head, String body) { }
 
+    /** Starts a sidecar and waits until discovery has confirmed its list. */
     SidecarHarness(ObjectNode json) throws Exception {
+        this(json, true);
+    }
+
+    /** Starts a sidecar; it refuses requests until discovery has confirmed its list. */
+    SidecarHarness(ObjectNode json, boolean awaitList) throws Exception {
         Config config = Config.of(json);
         dispatcher = new RequestDispatcher(loop, config, 100);
         frontend = new Frontend(dispatcher, loopMonitor, config.settingsReader(), 100);
-        loop.submit(() -> dispatcher.start(config.cachedList())).sync();
+        loop.submit(() -> dispatcher.start(listReceived::countDown)).sync();
         address = (InetSocketAddress) frontend.listen(loop, config.listen()).sync().channel().localAddress();
+        if (awaitList) {
+            awaitList();
+        }
+    }
+
+    /** Waits until discovery has confirmed the known list or sent another. */
+    void awaitList() throws InterruptedException {
+        assertTrue(listReceived.await(FakeUpstream.TIMEOUT_S, TimeUnit.SECONDS), "discovery did not respond");
     }
 
     /**
@@ -69,6 +91,19 @@
         }
     }
 
+    /** Opens a watch, and sends an empty line at once and every 2 s until it is closed. */
+    static boolean sendHeartbeats(Socket socket) throws IOException {
+        FakeUpstream.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while (true) {
+            FakeUpstream.write(socket, "1\r\n\n\r\n");
+            try {
+                Thread.sleep(HEARTBEAT_INTERVAL_MS);
+            } catch (InterruptedException e) {
+                return false;
+            }
+        }
+    }
+
     static SidecarHarness with(FakeUpstream... upstreams) throws Exception {
         return new SidecarHarness(configJson(upstreams));
     }
@@ -79,7 +114,7 @@
      */
     static ObjectNode configJson(FakeUpstream... upstreams) throws IOException {
         ObjectNode root = (ObjectNode) Config.JSON.readTree("""
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  "known":{"rev":41,"all":true,"targets":[]},
                  "settings":{"discovery":"automatic","quantum":5000000,"rank":0,"replicasOfMe":1,
@@ -95,6 +130,7 @@
                    {"name":"hold","slo":20000000000,"deadline":20000000000,"semantics":"by_key",
                     "keyScope":"all","keyTtl":60000000000},
                    {"name":"book","slo":20000000000,"deadline":20000000000,"semantics":"once"}]}}""");
+        root.put("discovery", UNCHANGED_DISCOVERY.endpoint());
         ArrayNode targets = root.withObject("/known").withArray("/targets");
         for (int i = 0; i < upstreams.length; i++) {
             targets.add(listEntry("s-" + i, upstreams[i].endpoint(), "SERVING"));
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -291,7 +291,8 @@
             String line = "{\"rev\":42,\"all\":false,\"targets\":["
                     + SidecarHarness.listEntry("s-0", draining.endpoint(), "DRAINING") + "]}\n";
             try (FakeUpstream discovery = new FakeUpstream((socket, head) -> {
-                FakeUpstream.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                FakeUpstream.write(socket,
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
                 try {
                     update.await();
                 } catch (InterruptedException e) {
@@ -324,6 +325,47 @@
         }
     }
 
+    /**
+     * A sidecar that had been restarted while discovery was down sent to an upstream of its known list that
+     * had begun to drain meanwhile.
+     */
+    @Test
+    void aRestartedSidecarSentToADrainingUpstreamBeforeItHeardFromDiscovery() throws Exception {
+        for (String discoveryMode : List.of("automatic", "subscribe")) {
+            checkStartWhileDiscoveryIsDown(discoveryMode);
+        }
+    }
+
+    private static void checkStartWhileDiscoveryIsDown(String discoveryMode) throws Exception {
+        CountDownLatch discoveryUp = new CountDownLatch(1);
+        try (FakeUpstream draining = FakeUpstream.serving("x");
+                FakeUpstream other = FakeUpstream.serving("y")) {
+            String line = "{\"rev\":42,\"all\":false,\"targets\":["
+                    + SidecarHarness.listEntry("s-0", draining.endpoint(), "DRAINING") + "]}\n";
+            try (FakeUpstream discovery = new FakeUpstream((socket, head) -> {
+                FakeUpstream.await(discoveryUp);
+                FakeUpstream.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+                return true;
+            })) {
+                ObjectNode json = SidecarHarness.configJson(draining, other)
+                        .put("discovery", discovery.endpoint());
+                json.withObject("/settings").put("discovery", discoveryMode);
+                try (SidecarHarness harness = new SidecarHarness(json, false)) {
+                    for (int i = 0; i < 6; i++) {
+                        assertEquals(503, harness.exchange(SidecarHarness.safeRequest("a" + i)).status());
+                    }
+                    discoveryUp.countDown();
+                    harness.awaitList();
+                    for (int i = 0; i < 6; i++) {
+                        assertEquals("y", harness.exchange(SidecarHarness.safeRequest("b" + i)).body());
+                    }
+                    assertEquals(0, draining.heads.size());
+                }
+            }
+        }
+    }
+
     /** No list in the configuration has a limit below 1,024 entries: the last entry of each is used, too. */
     @Test
     void listsOf1024EntriesAreRead() throws Exception {
