Part a call of discovery from the client that makes the calls

DiscoveryClient held both the choice of calls and the reading of one call's lines. DiscoveryCall is now a file of its own with a typed listener. No change of behaviour but the log line of an unreadable answer, which names no revision any more, and that bytes of a blank line are not kept. DiscoveryClientTest and SidecarTest pass unchanged.

--- a/src/main/java/pondridge/sidecar/DiscoveryClient.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryClient.java
@@ -1,27 +1,8 @@
 package pondridge.sidecar;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,14 +21,8 @@
  *
  * <p>Used by {@link RequestDispatcher} on the event loop only; the listener is called on it, too.
  */
-final class DiscoveryClient {
-    /**
-     * A call fails if nothing is received for this long. Discovery takes up to 2 s to respond, and sends an
-     * empty line every 2 s on a watch.
-     */
-    private static final long READ_TIMEOUT_MS = 5_000;
+final class DiscoveryClient implements DiscoveryCall.Listener {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final int MAX_LINE_BYTES = 4 << 20;
     /**
      * Delay before a failed watch is opened again, doubled after each failure. It can be this short because
      * the discovery agent runs on the same machine and a call to it costs nothing.
@@ -121,6 +96,8 @@
     private long revision;
     /** The open watch, or null. */
     private DiscoveryCall watch;
+    /** Whether the open watch has sent a line. */
+    private boolean watchResponded;
     /** Whether a watch is to be open; one that has failed is opened again by this client or its user. */
     private boolean watchWanted;
     /** Whether a failed watch is opened again automatically. */
@@ -188,8 +165,9 @@
             watch = null;
         }
         if (enabled) {
-            watch = new DiscoveryCall(true);
-            watch.open();
+            watchResponded = false;
+            watch = DiscoveryCall.watch(loop, address, revision, this);
+            watch.open(dialer);
         }
     }
 
@@ -207,183 +185,64 @@
 
     /** Fetches the whole list once. */
     void fetch() {
-        new DiscoveryCall(false).open();
+        DiscoveryCall.fetch(loop, address, this).open(dialer);
     }
 
-    /** For the log. */
     @Override
-    public String toString() {
-        return "rev " + revision + (everResponded ? "" : " not confirmed yet")
-                + (watch == null ? ", no watch" : "");
-    }
-
-    /** One HTTP call on a connection of its own: a watch, or a fetch of the whole list. */
-    private final class DiscoveryCall extends SimpleChannelInboundHandler<HttpObject>
-            implements Dialer.Listener {
-        private final boolean isWatch;
-        /** The bytes received of the current line. */
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-        private Dialer.Dial dial;
-        private Channel channel;
-        private Future<?> readTimeout;
-        /** Whether a list, a change or, on a watch, an empty line has been received. */
-        private boolean responded;
-        private boolean closed;
-
-        DiscoveryCall(boolean isWatch) {
-            this.isWatch = isWatch;
-        }
-
-        void open() {
-            restartReadTimeout();
-            dial = dialer.dial(address, this);
-        }
-
-        @Override
-        public void onConnected(RetryingSocketChannel connectedChannel) {
-            channel = connectedChannel;
-            connectedChannel.pipeline().addLast(new HttpClientCodec(), this);
-            sendRequest();
-        }
-
-        @Override
-        public void onFailed(Throwable cause) {
-            fail();
-        }
-
-        private void sendRequest() {
-            String path = "/discovery/hosts" + (isWatch ? "?watch=1&from=" + revision : "");
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    path);
-            request.headers().set(HttpHeaderNames.HOST,
-                    address.getAddress().getHostAddress() + ":" + address.getPort());
-            channel.writeAndFlush(request);
-        }
-
-        private void restartReadTimeout() {
-            if (readTimeout != null) {
-                readTimeout.cancel(false);
-            }
-            readTimeout = loop.schedule(this::fail, READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        }
-
-        /** Ends the call without a report to the listener. */
-        void close() {
-            closed = true;
-            readTimeout.cancel(false);
-            if (channel != null) {
-                channel.close();
-            } else if (dial != null) {
-                dial.cancel();
-            }
+    public void unchanged(DiscoveryCall call) {
+        if (!watchResponded) {
+            responseReceived(call);
+            listener.accept(ListUpdateType.DELTA, List.of());
         }
+    }
 
-        /** Ends the call, unless it has ended, and opens the watch again or reports the failure. */
-        private void fail() {
-            if (!closed) {
-                close();
-                if (watch == this) {
-                    watch = null;
-                }
-                if (isWatch && keepWatchOpen) {
-                    reopenWatchLater();
-                } else {
-                    listener.accept(ListUpdateType.FAILED, List.of());
-                }
-            }
-        }
+    @Override
+    public void updateReceived(DiscoveryCall call, UpstreamList update) {
+        revision = update.revision();
+        responseReceived(call);
+        listener.accept(update.full() ? ListUpdateType.FULL : ListUpdateType.DELTA, applyUpdate(update));
+    }
 
-        /** The last known list stays in use meanwhile. Of failures in a row, only the first is logged. */
-        private void reopenWatchLater() {
-            if (retryDelayMs == MIN_RETRY_DELAY_MS) {
-                System.err.println("discovery: watch at " + address + " broken, rev " + revision
-                        + " holds");
-            }
-            loop.schedule(() -> {
-                if (watch == null) {
-                    watch(true);
-                }
-            }, retryDelayMs, TimeUnit.MILLISECONDS);
-            retryDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
+    private void responseReceived(DiscoveryCall call) {
+        watchResponded |= call == watch;
+        retryDelayMs = MIN_RETRY_DELAY_MS;
+        if (!everResponded) {
+            everResponded = true;
+            listener.accept(ListUpdateType.CACHED, cachedEntries);
         }
+    }
 
-        private void responseReceived() {
-            responded = true;
-            retryDelayMs = MIN_RETRY_DELAY_MS;
-            if (!everResponded) {
-                everResponded = true;
-                listener.accept(ListUpdateType.CACHED, cachedEntries);
-            }
+    /** Opens a failed watch again, or reports the failure. */
+    @Override
+    public void failed(DiscoveryCall call) {
+        boolean wasWatch = call == watch;
+        if (wasWatch) {
+            watch = null;
         }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject message) throws IOException {
-            if (closed) {
-                return;
-            }
-            restartReadTimeout();
-            if (message.decoderResult().isFailure() || message instanceof HttpResponse response
-                    && !response.status().equals(HttpResponseStatus.OK)) {
-                fail();
-                return;
-            }
-            if (message instanceof HttpContent content) {
-                readLines(content.content());
-                if (!closed && message instanceof LastHttpContent) {
-                    if (!isWatch && line.size() > 0) {
-                        parseLine();
-                    }
-                    if (isWatch || !responded) {
-                        fail();
-                    } else {
-                        close();
-                    }
-                }
-            }
+        if (wasWatch && keepWatchOpen) {
+            reopenWatchLater();
+        } else {
+            listener.accept(ListUpdateType.FAILED, List.of());
         }
+    }
 
-        private void readLines(ByteBuf bytes) throws IOException {
-            while (bytes.isReadable() && !closed) {
-                byte next = bytes.readByte();
-                if (next != '\n') {
-                    line.write(next);
-                    if (line.size() > MAX_LINE_BYTES) {
-                        fail();
-                    }
-                } else if (!line.toString(StandardCharsets.UTF_8).isBlank()) {
-                    parseLine();
-                } else if (isWatch && !responded) {
-                    // An empty first line means that nothing has changed since the known revision.
-                    responseReceived();
-                    listener.accept(ListUpdateType.DELTA, List.of());
-                }
-            }
+    /** The last known list stays in use meanwhile. Of failures in a row, only the first is logged. */
+    private void reopenWatchLater() {
+        if (retryDelayMs == MIN_RETRY_DELAY_MS) {
+            System.err.println("discovery: watch at " + address + " broken, rev " + revision + " holds");
         }
-
-        private void parseLine() throws IOException {
-            JsonNode node = Config.JSON.readTree(line.toByteArray());
-            line.reset();
-            if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
-                fail();
-                return;
+        loop.schedule(() -> {
+            if (watch == null) {
+                watch(true);
             }
-            UpstreamList update = UpstreamList.of(node);
-            revision = update.revision();
-            responseReceived();
-            listener.accept(update.full() ? ListUpdateType.FULL : ListUpdateType.DELTA, applyUpdate(update));
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            fail();
-        }
+        }, retryDelayMs, TimeUnit.MILLISECONDS);
+        retryDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            String reason = cause instanceof JsonProcessingException invalidJson
-                    ? invalidJson.getOriginalMessage() : cause.toString();
-            System.err.println("discovery: answer not read, rev " + revision + " holds: " + reason);
-            fail();
-        }
+    /** For the log. */
+    @Override
+    public String toString() {
+        return "rev " + revision + (everResponded ? "" : " not confirmed yet")
+                + (watch == null ? ", no watch" : "");
     }
 }
