Open another watch beside a silent one before the sidecar counts as told

Cause: a call of discovery was given up, and another made, only after 5 s without bytes: at the start, at a new address, for a watch that fell silent, and for those that the balancer subscribes with. A shorter limit is no way out: discovery may take 2 s to respond, and would then never be heard.

While the latest watch is silent (1.5 s without a response, 3 s without an empty line later) another is opened beside it. The first that sends a line stays, the others are closed.

Without the report of silence (scratch copy) the four new tests fail: lists after 5,059, 5,058 and 10,143 ms, one call where two are expected. MemoryIT's sleep moved to Await.

--- a/src/main/java/pondridge/sidecar/DiscoveryCall.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryCall.java
@@ -33,6 +33,13 @@
 final class DiscoveryCall extends SimpleChannelInboundHandler<HttpObject> implements Dialer.Listener {
     /** A call fails if nothing is received for this long. */
     private static final long READ_TIMEOUT_MS = 5_000;
+    /**
+     * A call without a response is reported as silent after this time. Another one that is answered within
+     * 2 s then still comes before a sidecar counts as told, which is 4 s after a new address.
+     */
+    private static final long RESPONSE_SILENCE_MS = 1_500;
+    /** The same for a watch that has responded. Discovery sends an empty line every 2 s. */
+    private static final long WATCH_SILENCE_MS = 3_000;
     private static final int MAX_LINE_BYTES = 4 << 20;
 
     /** Receives what a call brings, on the event loop. */
@@ -43,6 +50,9 @@
         /** A whole list, or a change of the last one. */
         void updateReceived(DiscoveryCall call, DiscoveryClient.UpstreamList update);
 
+        /** A watch has been silent for a while. It stays open, and may still bring something. */
+        void silent(DiscoveryCall call);
+
         /** The call has failed, and its connection is closed. */
         void failed(DiscoveryCall call);
     }
@@ -57,7 +67,8 @@
     private Dialer.Dial dial;
     private Channel channel;
     private Future<?> readTimeout;
-    private boolean listReceived;
+    private Future<?> silenceTimer;
+    private boolean lineReceived;
     private boolean closed;
 
     private DiscoveryCall(EventLoop loop, InetSocketAddress address, boolean isWatch, String path,
@@ -81,14 +92,14 @@
 
     /** Begins the call. The listener may be called before this method returns. */
     void open(Dialer dialer) {
-        restartReadTimeout();
+        restartTimers();
         dial = dialer.dial(address, this);
     }
 
     /** Ends the call without a report to the listener. */
     void close() {
         closed = true;
-        readTimeout.cancel(false);
+        cancelTimers();
         if (channel != null) {
             channel.close();
         } else if (dial != null) {
@@ -116,11 +127,24 @@
         channel.writeAndFlush(request);
     }
 
-    private void restartReadTimeout() {
+    private void restartTimers() {
         if (readTimeout != null) {
-            readTimeout.cancel(false);
+            cancelTimers();
         }
         readTimeout = loop.schedule(this::fail, READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        silenceTimer = loop.schedule(this::reportSilence,
+                lineReceived ? WATCH_SILENCE_MS : RESPONSE_SILENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelTimers() {
+        readTimeout.cancel(false);
+        silenceTimer.cancel(false);
+    }
+
+    private void reportSilence() {
+        if (isWatch && !closed) {
+            listener.silent(this);
+        }
     }
 
     private void fail() {
@@ -135,7 +159,6 @@
         if (closed) {
             return;
         }
-        restartReadTimeout();
         if (message.decoderResult().isFailure() || message instanceof HttpResponse response
                 && !response.status().equals(HttpResponseStatus.OK)) {
             fail();
@@ -147,6 +170,9 @@
                 endOfResponse();
             }
         }
+        if (!closed) {
+            restartTimers();
+        }
     }
 
     private void readLines(ByteBuf bytes) throws IOException {
@@ -170,6 +196,7 @@
         }
         line.reset();
         if (isWatch) {
+            lineReceived = true;
             listener.unchanged(this);
         }
     }
@@ -178,7 +205,7 @@
         if (!isWatch && line.size() > 0) {
             parseLine();
         }
-        if (isWatch || !listReceived) {
+        if (isWatch || !lineReceived) {
             fail();
         } else {
             close();
@@ -192,7 +219,7 @@
             fail();
             return;
         }
-        listReceived = true;
+        lineReceived = true;
         listener.updateReceived(this, DiscoveryClient.UpstreamList.of(node));
     }
 
--- a/src/main/java/pondridge/sidecar/DiscoveryClient.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -94,10 +95,17 @@
     /** The last valid entry of each listed upstream, by uid. */
     private final Map<String, ListEntry> lastValidEntries = new HashMap<>();
     private long revision;
-    /** The open watch, or null. */
-    private DiscoveryCall watch;
-    /** Whether the open watch has sent a line. */
-    private boolean watchResponded;
+    /**
+     * The open watches. While the latest one is silent another is opened beside it; the first that sends a
+     * line stays, and the others are closed.
+     */
+    private final Set<DiscoveryCall> watches = new HashSet<>();
+    /** The watch that was opened last, unless it has failed; else null. */
+    private DiscoveryCall latestWatch;
+    /** The open watch that has sent a line, or null. */
+    private DiscoveryCall respondedWatch;
+    /** Opens a failed watch again; null if that is not to happen. */
+    private Future<?> reopenTimer;
     /** Whether a watch is to be open; one that has failed is opened again by this client or its user. */
     private boolean watchWanted;
     /** Whether a failed watch is opened again automatically. */
@@ -157,17 +165,33 @@
         watch(true);
     }
 
-    /** Closes the current watch, if any; if {@code enabled}, opens one from the last known revision on. */
+    /** Closes the current watches, if any; if {@code enabled}, opens one from the last known revision on. */
     void watch(boolean enabled) {
         watchWanted = enabled;
-        if (watch != null) {
-            watch.close();
-            watch = null;
-        }
+        closeWatchesExcept(null);
         if (enabled) {
-            watchResponded = false;
-            watch = DiscoveryCall.watch(loop, address, revision, this);
-            watch.open(dialer);
+            openWatch();
+        }
+    }
+
+    private void openWatch() {
+        latestWatch = DiscoveryCall.watch(loop, address, revision, this);
+        watches.add(latestWatch);
+        latestWatch.open(dialer);
+    }
+
+    private void closeWatchesExcept(DiscoveryCall remaining) {
+        for (DiscoveryCall watch : watches) {
+            if (watch != remaining) {
+                watch.close();
+            }
+        }
+        watches.removeIf(watch -> watch != remaining);
+        latestWatch = remaining;
+        respondedWatch = remaining;
+        if (reopenTimer != null) {
+            reopenTimer.cancel(false);
+            reopenTimer = null;
         }
     }
 
@@ -190,8 +214,9 @@
 
     @Override
     public void unchanged(DiscoveryCall call) {
-        if (!watchResponded) {
-            responseReceived(call);
+        boolean firstLine = call != respondedWatch;
+        responseReceived(call);
+        if (firstLine) {
             listener.accept(ListUpdateType.DELTA, List.of());
         }
     }
@@ -204,7 +229,9 @@
     }
 
     private void responseReceived(DiscoveryCall call) {
-        watchResponded |= call == watch;
+        if (watches.contains(call)) {
+            closeWatchesExcept(call);
+        }
         retryDelayMs = MIN_RETRY_DELAY_MS;
         if (!everResponded) {
             everResponded = true;
@@ -212,14 +239,31 @@
         }
     }
 
-    /** Opens a failed watch again, or reports the failure. */
+    /** The silent watch stays open beside the new one, since discovery may only be slow. */
+    @Override
+    public void silent(DiscoveryCall call) {
+        if (call == latestWatch) {
+            if (watches.size() == 1) {
+                System.err.println("discovery: watch at " + address + " silent, another is opened");
+            }
+            openWatch();
+        }
+    }
+
+    /** Opens a failed watch again, or reports the failure, unless a later watch has been opened. */
     @Override
     public void failed(DiscoveryCall call) {
-        boolean wasWatch = call == watch;
-        if (wasWatch) {
-            watch = null;
+        boolean isWatch = watches.remove(call);
+        if (call == respondedWatch) {
+            respondedWatch = null;
+        }
+        if (isWatch && call != latestWatch) {
+            return;
         }
-        if (wasWatch && keepWatchOpen) {
+        if (isWatch) {
+            latestWatch = null;
+        }
+        if (isWatch && keepWatchOpen) {
             reopenWatchLater();
         } else {
             listener.accept(ListUpdateType.FAILED, List.of());
@@ -231,10 +275,9 @@
         if (retryDelayMs == MIN_RETRY_DELAY_MS) {
             System.err.println("discovery: watch at " + address + " broken, rev " + revision + " holds");
         }
-        loop.schedule(() -> {
-            if (watch == null) {
-                watch(true);
-            }
+        reopenTimer = loop.schedule(() -> {
+            reopenTimer = null;
+            openWatch();
         }, retryDelayMs, TimeUnit.MILLISECONDS);
         retryDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
     }
@@ -243,6 +286,6 @@
     @Override
     public String toString() {
         return "rev " + revision + (everResponded ? "" : " not confirmed yet")
-                + (watch == null ? ", no watch" : "");
+                + (respondedWatch == null ? ", no watch" : "");
     }
 }
--- a/src/test/java/pondridge/sidecar/Await.java
+++ b/src/test/java/pondridge/sidecar/Await.java
@@ -20,4 +20,13 @@
             Thread.sleep(POLL_INTERVAL_MS);
         }
     }
+
+    /** Sleeps, and ends early when the thread is interrupted. */
+    static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -24,6 +24,10 @@
     private static final int CALLS_TO_LONGEST_DELAY = 6;
     /** For how long after its drain is known to discovery an upstream may still get attempts. */
     private static final long MAX_DRAIN_DELAY_NANOS = 300_000_000;
+    /** What discovery has to tell counts as told so long after SIGHUP, or after a watch fell silent. */
+    private static final long MAX_RELOAD_NANOS = 4_000_000_000L;
+    private static final long MAX_SILENCE_NANOS = 6_000_000_000L;
+    private static final long SLOW_RESPONSE_MS = 2_000;
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String DELTA_START =
             "{\"rev\":43,\"all\":false,\"targets\":[" + entry("DRAINING") + ",";
@@ -226,6 +230,97 @@
         }
     }
 
+    /**
+     * After SIGHUP the first watch at the new address fell silent, and discovery was called again only when a
+     * drain there had counted as told for long.
+     */
+    @Test
+    void aSilentWatchAtANewAddressWasReplacedTooLate() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (FakeUpstream oldServer = new FakeUpstream((socket, head) ->
+                SidecarHarness.sendHeartbeats(socket));
+                FakeUpstream newServer = silentFor(calls, 1)) {
+            DiscoveryClient discoveryClient = clientOf(oldServer);
+            loop.execute(discoveryClient::keepWatchOpen);
+            assertEquals(new ListUpdate(ListUpdateType.DELTA, List.of()), FakeUpstream.next(updates));
+            long changedAt = System.nanoTime();
+            loop.execute(() -> discoveryClient.changeAddress(newServer.address()));
+            expectDrain(changedAt, MAX_RELOAD_NANOS);
+        }
+    }
+
+    /** The same for the first watch of a sidecar, which becomes ready without a list after 4 s. */
+    @Test
+    void aSilentFirstWatchWasReplacedTooLate() throws Exception {
+        for (boolean automatic : List.of(true, false)) {
+            AtomicInteger calls = new AtomicInteger();
+            try (FakeUpstream server = silentFor(calls, 1)) {
+                DiscoveryClient discoveryClient = clientOf(server);
+                long openedAt = System.nanoTime();
+                loop.execute(automatic ? discoveryClient::keepWatchOpen : () -> discoveryClient.watch(true));
+                expectDrain(openedAt, TimeUnit.MILLISECONDS.toNanos(Readiness.MAX_LIST_WAIT_MS));
+            }
+        }
+    }
+
+    /** An open watch fell silent, and so did the one that replaced it: what they missed came too late. */
+    @Test
+    void aWatchThatFellSilentWasReplacedTooLate() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (FakeUpstream server = new FakeUpstream((socket, head) -> {
+            int call = calls.incrementAndGet();
+            if (call <= 2) {
+                FakeUpstream.write(socket, call == 1 ? CHUNKED + chunk("\n") : CHUNKED);
+                return true;
+            }
+            FakeUpstream.write(socket, CHUNKED + chunk(DELTA_START + DELTA_END));
+            return true;
+        })) {
+            DiscoveryClient discoveryClient = clientOf(server);
+            loop.execute(discoveryClient::keepWatchOpen);
+            assertEquals(new ListUpdate(ListUpdateType.DELTA, List.of()), FakeUpstream.next(updates));
+            expectDrain(System.nanoTime(), MAX_SILENCE_NANOS);
+        }
+    }
+
+    /** Discovery that takes 2 s for each response was never heard of if each call was given up before. */
+    @Test
+    void aSlowResponseIsAwaitedWhileAnotherWatchIsOpened() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (FakeUpstream server = new FakeUpstream((socket, head) -> {
+            calls.incrementAndGet();
+            Await.sleep(SLOW_RESPONSE_MS);
+            FakeUpstream.write(socket, CHUNKED + chunk(DELTA_START + DELTA_END));
+            return true;
+        })) {
+            DiscoveryClient discoveryClient = clientOf(server);
+            long openedAt = System.nanoTime();
+            loop.execute(discoveryClient::keepWatchOpen);
+            expectDrain(openedAt, TimeUnit.MILLISECONDS.toNanos(Readiness.MAX_LIST_WAIT_MS));
+            FakeUpstream.next(server.disconnects);
+            assertEquals(2, calls.get(), "the second call is closed once the first has responded");
+            assertEquals(0, updates.size());
+        }
+    }
+
+    /** Discovery whose first calls get no response, and the next ones a list with a drain. */
+    private static FakeUpstream silentFor(AtomicInteger calls, int silentCalls) {
+        return new FakeUpstream((socket, head) -> {
+            if (calls.incrementAndGet() > silentCalls) {
+                FakeUpstream.write(socket, CHUNKED + chunk(DELTA_START + DELTA_END));
+            }
+            return true;
+        });
+    }
+
+    private void expectDrain(long since, long maxNanos) throws Exception {
+        ListUpdate update = FakeUpstream.next(updates);
+        long elapsed = System.nanoTime() - since;
+        assertEquals(List.of(UpstreamState.DRAINING),
+                update.entries.stream().map(DiscoveryClient.ListEntry::state).toList());
+        assertTrue(elapsed < maxNanos, "came after " + elapsed / 1_000_000 + " ms");
+    }
+
     @Test
     void wholeListIsFetchedOnce() throws Exception {
         String body = "{\"rev\":41,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
--- a/src/test/java/pondridge/sidecar/MemoryIT.java
+++ b/src/test/java/pondridge/sidecar/MemoryIT.java
@@ -129,7 +129,7 @@
             FakeUpstream.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LONG_BODY_BYTES + "\r\n\r\n");
             for (int i = 0; i < PIECES; i++) {
                 FakeUpstream.write(socket, piece);
-                sleep(PIECE_INTERVAL_MS);
+                Await.sleep(PIECE_INTERVAL_MS);
             }
             return true;
         };
@@ -164,7 +164,7 @@
         int requestsEach = 250;
         FakeUpstream.Script slow = (socket, head) -> {
             if (!head.contains("Req-Id: other")) {
-                sleep(900);
+                Await.sleep(900);
             }
             return FakeUpstream.reply(socket, "200 OK", "", "x");
         };
@@ -206,12 +206,4 @@
             expectPeakWithinLimit();
         }
     }
-
-    private static void sleep(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
