Put a failed subscription off by 4 s at most, whatever askWithin is

A change counts as told 6 s after discovery can be reached again.

The delay now grows to 4 s at most, which leaves 2 s to the response. For askWithin of 8 s or less nothing changes.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -485,6 +485,11 @@
 
     /** The listed upstreams, the subscription to the list, and the budget of upstreams in slow start. */
     private final class UpstreamRegistry {
+        /**
+         * In ns. Once discovery can be reached again, 6 s pass until the balancer counts as told; a response
+         * may take 2 s of them.
+         */
+        private static final long MAX_SUBSCRIPTION_RETRY_DELAY = 4_000_000_000L;
         private final TreeMap<Long, TrackedUpstream> upstreams = new TreeMap<>();
         private List<TrackedUpstream> ready = List.of();
         private List<TrackedUpstream> cold = List.of();
@@ -517,9 +522,11 @@
             if (type == ListUpdateType.FAILED) {
                 // A failed subscription delivers nothing more. It is renewed with backoff and jitter, so that
                 // many sidecars whose calls failed together do not overload discovery together.
-                long base = Math.max(settings.tickInterval(), settings.limits().listRenewalInterval() / 40);
-                retryDelay = Math.max(base,
-                        Math.min(retryDelay * 2, settings.limits().listRenewalInterval() / 2));
+                long base = Math.min(MAX_SUBSCRIPTION_RETRY_DELAY,
+                        Math.max(settings.tickInterval(), settings.limits().listRenewalInterval() / 40));
+                long longest = Math.min(MAX_SUBSCRIPTION_RETRY_DELAY,
+                        settings.limits().listRenewalInterval() / 2);
+                retryDelay = Math.max(base, Math.min(retryDelay * 2, longest));
                 scheduleRenewal(now + retryDelay / 2 + random.nextLong(retryDelay / 2 + 1));
                 return;
             }
--- a/src/test/java/pondridge/RecordingHost.java
+++ b/src/test/java/pondridge/RecordingHost.java
@@ -73,6 +73,15 @@
                 List.of(), Balancer.Costs.NONE, false, 1);
     }
 
+    /** Settings under which the list has to be subscribed to, and need be renewed every 60 s only. */
+    static Settings rareRenewalSettings(RequestClass... classes) {
+        Settings base = settings(classes);
+        return new Settings(0, 3, 0, 5 * MS, DiscoveryMode.SUBSCRIBE, WeightMode.SILENT, base.classes(),
+                List.of(), base.capabilities(),
+                new Limits(20 * MS, 60_000 * MS, 250 * MS, 0.3, 8_000 * MS, 3, 1_500 * MS),
+                List.of(), Balancer.Costs.NONE, false, 1);
+    }
+
     /** Settings of the only sidecar that uses the upstreams. */
     static Settings singleSidecarSettings(RequestClass... classes) {
         Settings base = settings(classes);
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -10,6 +10,7 @@
 import static pondridge.RecordingHost.MS;
 import static pondridge.RecordingHost.ONCE;
 import static pondridge.RecordingHost.REPEATABLE;
+import static pondridge.RecordingHost.rareRenewalSettings;
 import static pondridge.RecordingHost.settings;
 import static pondridge.RecordingHost.upstream;
 
@@ -30,6 +31,8 @@
 
 /** Checks which actions {@link Rules} orders for fixed sequences of events. */
 class RulesTest {
+    /** A list counts as told 6 s after discovery could be reached, and its response may take 2 s. */
+    private static final long MAX_SUBSCRIPTION_DELAY_MS = 4_000;
 
     /** A host with the default settings, a fixed seed and no upstreams yet. */
     private static RecordingHost host(Balancer.RequestClass... classes) {
@@ -282,6 +285,17 @@
                 "after eight failures the next subscription waits longer than 2 s");
     }
 
+    /** After some failed calls the next one was put off by up to half of a long renewal interval. */
+    @Test
+    void discoveryWasAskedTooLateAfterAnOutage() {
+        RecordingHost host = new RecordingHost(rareRenewalSettings(REPEATABLE), 7).withUpstreams(3);
+        for (int i = 0; i < 8; i++) {
+            host.rules.listUpdated(host.now, ListUpdateType.FAILED, List.of());
+            host.advance(MAX_SUBSCRIPTION_DELAY_MS * MS);
+            assertEquals(i + 2, host.subscriptions, "after " + (i + 1) + " failed calls");
+        }
+    }
+
     /** The cached list does not count as a reply to the subscription. */
     @Test
     void subscriptionIsRepeatedWhenNoListFollows() {
