Read lists that discovery has indented over several lines

A list on several lines failed the watch at its first line, again and again, so that no drain in it was ever heard.

JsonFramer ends an object with the line on which its last bracket is closed. An empty line inside an object fails the call, so that a cut-off object does not hold up the later ones; discovery sends one every 2 s. The new test fails without the change (an empty list where a drain is expected).

--- a/src/main/java/pondridge/sidecar/DiscoveryCall.java
+++ b/src/main/java/pondridge/sidecar/DiscoveryCall.java
@@ -18,10 +18,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -40,7 +38,6 @@
     private static final long RESPONSE_SILENCE_MS = 1_500;
     /** The same for a watch that has responded. Discovery sends an empty line every 2 s. */
     private static final long WATCH_SILENCE_MS = 3_000;
-    private static final int MAX_LINE_BYTES = 4 << 20;
 
     /** Receives what a call brings, on the event loop. */
     interface Listener {
@@ -62,13 +59,13 @@
     private final boolean isWatch;
     private final String path;
     private final Listener listener;
-    /** The bytes received of the current line. */
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final JsonFramer framer = new JsonFramer();
     private Dialer.Dial dial;
     private Channel channel;
     private Future<?> readTimeout;
     private Future<?> silenceTimer;
-    private boolean lineReceived;
+    /** Whether a list, a change or, on a watch, an empty line has been received. */
+    private boolean responded;
     private boolean closed;
 
     private DiscoveryCall(EventLoop loop, InetSocketAddress address, boolean isWatch, String path,
@@ -133,7 +130,7 @@
         }
         readTimeout = loop.schedule(this::fail, READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         silenceTimer = loop.schedule(this::reportSilence,
-                lineReceived ? WATCH_SILENCE_MS : RESPONSE_SILENCE_MS, TimeUnit.MILLISECONDS);
+                responded ? WATCH_SILENCE_MS : RESPONSE_SILENCE_MS, TimeUnit.MILLISECONDS);
     }
 
     private void cancelTimers() {
@@ -165,7 +162,7 @@
             return;
         }
         if (message instanceof HttpContent content) {
-            readLines(content.content());
+            readMessages(content.content());
             if (!closed && message instanceof LastHttpContent) {
                 endOfResponse();
             }
@@ -175,51 +172,42 @@
         }
     }
 
-    private void readLines(ByteBuf bytes) throws IOException {
+    private void readMessages(ByteBuf bytes) throws IOException {
         while (bytes.isReadable() && !closed) {
-            byte next = bytes.readByte();
-            if (next == '\n') {
-                endOfLine();
-            } else {
-                line.write(next);
-                if (line.size() > MAX_LINE_BYTES) {
-                    fail();
-                }
+            switch (framer.add(bytes.readByte())) {
+                case EMPTY_LINE -> emptyLine();
+                case OBJECT -> parse(framer.take());
+                case INVALID -> fail();
+                default -> { }
             }
         }
     }
 
-    private void endOfLine() throws IOException {
-        if (!line.toString(StandardCharsets.UTF_8).isBlank()) {
-            parseLine();
-            return;
-        }
-        line.reset();
+    private void emptyLine() {
         if (isWatch) {
-            lineReceived = true;
+            responded = true;
             listener.unchanged(this);
         }
     }
 
     private void endOfResponse() throws IOException {
-        if (!isWatch && line.size() > 0) {
-            parseLine();
+        if (!isWatch && !framer.isEmpty()) {
+            parse(framer.take());
         }
-        if (isWatch || !lineReceived) {
+        if (isWatch || !responded) {
             fail();
         } else {
             close();
         }
     }
 
-    private void parseLine() throws IOException {
-        JsonNode node = Config.JSON.readTree(line.toByteArray());
-        line.reset();
+    private void parse(byte[] message) throws IOException {
+        JsonNode node = Config.JSON.readTree(message);
         if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
             fail();
             return;
         }
-        lineReceived = true;
+        responded = true;
         listener.updateReceived(this, DiscoveryClient.UpstreamList.of(node));
     }
 
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -129,6 +129,44 @@
         }
     }
 
+    /** A list that discovery had indented over several lines was never read, nor a drain in it. */
+    @Test
+    void anIndentedListWasNotRead() throws Exception {
+        String indented = Config.JSON.readTree(DELTA_START + DELTA_END).toPrettyString() + "\n";
+        try (FakeUpstream server = new FakeUpstream((socket, head) -> {
+            if (head.contains("watch=1")) {
+                FakeUpstream.write(socket, CHUNKED + chunk("\r\n") + chunk(indented.substring(0, 30))
+                        + chunk(indented.substring(30)) + chunk("\n"));
+                return true;
+            }
+            return FakeUpstream.reply(socket, "200 OK", "", indented);
+        })) {
+            DiscoveryClient discoveryClient = clientOf(server);
+            loop.execute(() -> discoveryClient.watch(true));
+            assertEquals(new ListUpdate(ListUpdateType.DELTA, List.of()), FakeUpstream.next(updates));
+            expectDrain(System.nanoTime(), MAX_RELOAD_NANOS);
+            loop.execute(() -> {
+                discoveryClient.watch(false);
+                discoveryClient.fetch();
+            });
+            expectDrain(System.nanoTime(), MAX_RELOAD_NANOS);
+        }
+    }
+
+    /** An object that never ends must not keep all later ones from being read. */
+    @Test
+    void aTruncatedObjectEndsTheWatchAtTheNextEmptyLine() throws Exception {
+        try (FakeUpstream server = new FakeUpstream((socket, head) -> {
+            FakeUpstream.write(socket, CHUNKED + chunk("{\"rev\":42,\"targets\":[\n") + chunk("\n"));
+            return true;
+        })) {
+            DiscoveryClient discoveryClient = clientOf(server);
+            loop.execute(() -> discoveryClient.watch(true));
+            assertEquals(ListUpdateType.FAILED, FakeUpstream.next(updates).type);
+            FakeUpstream.next(server.disconnects);
+        }
+    }
+
     /** A failure reported twice would shorten the time that the balancer waits between two calls. */
     @Test
     void reportsEachFailedCallOnce() throws Exception {
