Size the heap for the memory limit, and bound what small messages hold together

Operators of other deployments saw processes killed over their memory limit, with hundreds of clients that write slowly, stop half way, or send heads of many short fields. Ours shows it under low limits: private memory of 67 MB with 340 connections under a limit of 64 MB, 66 MB under 48 MB (MemoryLimitIT on the code before, 3 of its 6 settings failed).

Causes: run had one heap of 80 MB whatever the limit; the class archives were relocated, which makes 12 MB of them private (46 MB idle, 34 without: one process each); and messages below 4 KiB passed without any limit, so that the accounts of a thousand connections exceed a small heap (the process ended in 2 of 3 trials with heaps of 10 and 14 MB).

The budget is half of the heap less a base of 6 MB, and small messages pass until it is exceeded by half.

--- a/src/main/java/pondridge/sidecar/MemoryBudget.java
+++ b/src/main/java/pondridge/sidecar/MemoryBudget.java
@@ -14,16 +14,18 @@
  */
 final class MemoryBudget {
     /**
-     * An account may hold this much even if there is no room, so that ordinary small messages always pass.
-     * The number of accounts is limited by the number of connections and pending requests.
+     * An account may hold this much beyond the limit, so that ordinary small messages pass beside large ones,
+     * until all accounts together are half of the budget beyond it.
      */
     static final int ACCOUNT_ALLOWANCE_BYTES = 4 << 10;
     private static final long BYTES_PER_MB = 1 << 20;
     /** What the process needs beside the Java heap: code, classes, stacks and I/O buffers. */
-    private static final long NON_HEAP_BYTES = 48 * BYTES_PER_MB;
-    /** The other part of the heap is for all else, and for objects that have not been collected yet. */
+    private static final long NON_HEAP_BYTES = 32 * BYTES_PER_MB;
+    /** What the heap holds without connections: the balancer, its upstreams, and the libraries' objects. */
+    private static final long BASE_HEAP_BYTES = 6 * BYTES_PER_MB;
+    /** The other part of the heap is for holders beyond the limit and for objects not collected yet. */
     private static final int HEAP_DIVISOR = 2;
-    private static final long MIN_LIMIT_BYTES = 4 * BYTES_PER_MB;
+    private static final long MIN_LIMIT_BYTES = 2 * BYTES_PER_MB;
 
     private final long limit;
     /** Requests leave a quarter to responses: each response that is received makes room. */
@@ -55,7 +57,8 @@
      */
     static MemoryBudget of(long maxHeapBytes, int maxProcessMb, Executor executor) {
         long heapBytes = Math.min(maxHeapBytes, maxProcessMb * BYTES_PER_MB - NON_HEAP_BYTES);
-        return new MemoryBudget(Math.max(MIN_LIMIT_BYTES, heapBytes / HEAP_DIVISOR), executor);
+        long limit = (heapBytes - BASE_HEAP_BYTES) / HEAP_DIVISOR;
+        return new MemoryBudget(Math.max(MIN_LIMIT_BYTES, limit), executor);
     }
 
     /** Opens an account for a request, or for a connection. */
@@ -136,11 +139,8 @@
 
         /** Adds to what is held unless there is no room for it; returns whether it has been added. */
         boolean tryGrow(long bytes) {
-            if (held + bytes > ACCOUNT_ALLOWANCE_BYTES) {
-                return growWithinLimit(bytes);
-            }
-            grow(bytes);
-            return true;
+            boolean small = held + bytes <= ACCOUNT_ALLOWANCE_BYTES;
+            return tryGrow(bytes, small ? budgetLimit + limit / 2 : budgetLimit);
         }
 
         /** Adds to what is held, whether or not there is room. Has no effect once the account is closed. */
@@ -161,7 +161,11 @@
          * otherwise.
          */
         boolean growWithinLimit(long bytes) {
-            if (used + bytes > budgetLimit) {
+            return tryGrow(bytes, budgetLimit);
+        }
+
+        private boolean tryGrow(long bytes, long usedLimit) {
+            if (used + bytes > usedLimit) {
                 denials++;
                 return false;
             }
