Keep responses that wait for room in their sockets but for one short read

Cause: a response for which there was no room was not read on, but what its last read had brought, up to 64 KiB, was kept. The responses that waited held the room that all of them waited for, until their deadlines.

responsesBeyondTheBudgetWaitForRoom allowed 80 KiB beyond the limit for each response; the bound is now 16 KiB, and the connections have brought a long response before, after which Netty reads up to 64 KiB at once. Without the limit of reads the test fails: no response for 30 s.

--- a/src/main/java/pondridge/sidecar/MemoryBudget.java
+++ b/src/main/java/pondridge/sidecar/MemoryBudget.java
@@ -76,6 +76,11 @@
         return used;
     }
 
+    /** How often a holder has begun to wait for room. */
+    long waits() {
+        return waits;
+    }
+
     /** The size of the budget. */
     long limit() {
         return limit;
--- a/src/main/java/pondridge/sidecar/ResponseAggregator.java
+++ b/src/main/java/pondridge/sidecar/ResponseAggregator.java
@@ -17,10 +17,12 @@
 /**
  * Aggregates the parts of a response into a {@link ReceivedResponse}, on the event loop. Room for the whole
  * body is reserved when the head has been received. Without room the connection is not read until there is
- * some; the attempt's timeout goes on meanwhile.
+ * some; the attempt's timeout goes on meanwhile. Until then reads are short, so that the responses that wait
+ * don't hold the room that they wait for.
  */
 final class ResponseAggregator extends SimpleChannelInboundHandler<HttpObject> {
     private final MemoryBudget budget;
+    private final ReadLimiter readLimiter;
     /** Parts that were in the socket's last read, while the response waits for room. */
     private final Queue<HttpObject> unprocessed = new ArrayDeque<>();
     private final MemoryBudget.Account unprocessedMemory;
@@ -33,8 +35,9 @@
     /** Called when there may be room; null unless the response waits for it. */
     private BooleanSupplier waiter;
 
-    ResponseAggregator(MemoryBudget budget) {
+    ResponseAggregator(MemoryBudget budget, ReadLimiter readLimiter) {
         this.budget = budget;
+        this.readLimiter = readLimiter;
         this.unprocessedMemory = budget.openResponse();
     }
 
@@ -107,6 +110,9 @@
     private boolean reserve(int bytes) {
         boolean reserved = memory.tryGrow(bytes);
         reservedBytes = reserved ? bytes : 0;
+        if (reserved) {
+            readLimiter.lift();
+        }
         return reserved;
     }
 
@@ -157,6 +163,7 @@
     }
 
     private void pass() {
+        readLimiter.limit();
         memory.shrink(reservedBytes - body.length());
         reservedBytes = 0;
         ReceivedResponse response = new ReceivedResponse(head, body.toArray(), memory);
--- a/src/main/java/pondridge/sidecar/UpstreamClient.java
+++ b/src/main/java/pondridge/sidecar/UpstreamClient.java
@@ -370,8 +370,10 @@
         public void onConnected(RetryingSocketChannel opened) {
             channel = opened;
             channel.closeFuture().addListener(future -> releaseSlot());
+            ReadLimiter readLimiter = new ReadLimiter();
+            channel.config().setRecvByteBufAllocator(readLimiter);
             channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
-                    new ResponseAggregator(memoryBudget), this);
+                    new ResponseAggregator(memoryBudget, readLimiter), this);
             write(currentAttempt);
         }
 
--- a/src/test/java/pondridge/sidecar/UpstreamClientTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamClientTest.java
@@ -89,7 +89,10 @@
         }
     }
 
-    /** Responses under way were not counted; now those without room stay in their sockets until there is. */
+    /**
+     * Responses under way were not counted, and later those that waited for room held up to 64 KiB each, so
+     * that there was none for anybody. Now they stay in their sockets until there is room.
+     */
     @Test
     void responsesBeyondTheBudgetWaitForRoom() throws Exception {
         int count = 60;
@@ -99,19 +102,32 @@
         try (FakeUpstream upstream = FakeUpstream.serving(body)) {
             UpstreamClient upstreamClient =
                     newClient(upstream.address(), LONG_TIMEOUT_NANOS, count, budget);
+            // Connections that have brought a long response before take more from their sockets at once.
+            for (int i = 0; i < count; i++) {
+                loop.execute(() -> upstreamClient.send(1, get("/api/x"), LONG_TIMEOUT_NANOS,
+                        (outcome, response, loadReport) -> {
+                            response.release();
+                            outcomes.add(outcome);
+                        }));
+            }
+            for (int i = 0; i < count; i++) {
+                assertEquals(Outcome.OK, FakeUpstream.next(outcomes));
+            }
+            Thread.sleep(UpstreamClient.MIN_IDLE_BEFORE_REUSE_MS);
+            long waitedBefore = loop.submit(budget::waits).get();
             for (int i = 0; i < count; i++) {
                 loop.execute(() -> upstreamClient.send(1, get("/api/x"), LONG_TIMEOUT_NANOS,
                         (outcome, response, loadReport) -> responses.add(response)));
             }
             // None is released until one had to wait, however slowly they come.
-            Await.until(() -> !loop.submit(budget::toString).get().contains(" 0 waited"),
+            Await.until(() -> loop.submit(budget::waits).get() > waitedBefore,
                     () -> "none had to wait: " + budget);
             for (int i = 0; i < count; i++) {
                 RequestDispatcher.UpstreamResponse response = FakeUpstream.next(responses);
                 assertEquals(body, new String(response.body(), StandardCharsets.ISO_8859_1));
                 long held = loop.submit(budget::used).get();
-                // Beyond the limit are the connections and, of each waiting response, what one read brought.
-                assertTrue(held <= budget.limit() + count * (80L << 10), () -> "held: " + budget);
+                // Beyond the limit are the connections and, of each waiting response, one short read.
+                assertTrue(held <= budget.limit() + count * (16L << 10), () -> "held: " + budget);
                 loop.submit(response::release).sync();
             }
         }
