Refuse requests that have waited until nearly out of time, instead of sending them

Found while one client sent chunked requests on one connection at full speed: 71 and 76 of some 350 requests of other clients were refused as SHED. The first client's requests waited behind each other until a few milliseconds were left, and were sent all the same where a class's latency target is near its deadline, as the target is extended by half of the wait. Their timeouts (328 of 756 attempts) counted as an overload of the upstreams.

A new request is now refused as too late if half of its expected duration doesn't fit before its deadline either. The new test fails without the change (206 attempts where 200 are expected).

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -963,8 +963,9 @@
             if (prober.probeBeforeSend(now, pending)) {
                 return;
             }
-            if (pending.attempts.isEmpty() && now + pending.expectedDuration / 2 >= pending.latencyTargetAt) {
-                // unlikely to be in time; usually a client retry
+            if (pending.attempts.isEmpty() && now + pending.expectedDuration / 2
+                    >= Math.min(pending.latencyTargetAt, pending.deadline)) {
+                // unlikely to be in time; usually a client retry, or it has waited behind others
                 tracker.refuseOrFail(pending, FailureReason.TOO_LATE);
             } else if (queuedCount > 0 || !trySend(now, pending)) {
                 pending.queued = true;
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -25,8 +25,12 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.DiscoveryMode;
+import pondridge.Balancer.KeyScope;
 import pondridge.Balancer.ListUpdateType;
 import pondridge.Balancer.Outcome;
+import pondridge.Balancer.Request;
+import pondridge.Balancer.RequestClass;
+import pondridge.Balancer.Semantics;
 import pondridge.Balancer.UpstreamState;
 
 /** Checks which actions {@link Rules} orders for fixed sequences of events. */
@@ -305,6 +309,29 @@
         assertEquals(2, host.subscriptions);
     }
 
+    // ---------------------------------------------------------------- requests that have waited
+
+    /**
+     * Requests that had waited behind others of their connection until nearly out of time were sent all the
+     * same. Their timeouts counted as an overload of the upstreams, so that other clients were refused.
+     */
+    @Test
+    void requestsThatHadWaitedTooLongMadeTheBalancerShedOthers() {
+        RequestClass targetAtDeadline = new RequestClass(1_000 * MS, 0, 1_000 * MS, 1, 0,
+                Semantics.REPEATABLE, KeyScope.ALL, 0, false);
+        RecordingHost host = host(targetAtDeadline).withUpstreams(3);
+        host.serveSequentially(0, 200, 0, 20 * MS);
+        int attemptsBefore = host.attempts.size();
+        for (int id = 1_000; id < 1_100; id++) {
+            host.rules.requestArrived(host.now,
+                    new Request(id, 0, 0, 0, 1_000 * MS, 995 * MS, 0, false, false));
+            host.advance(5 * MS);
+        }
+        assertEquals(attemptsBefore, host.attempts.size(), "attempts of requests with 5 ms left");
+        host.serveSequentially(2_000, 2_100, 0, 20 * MS);
+        assertEquals(attemptsBefore + 100, host.attempts.size(), "none of another client is shed");
+    }
+
     // ---------------------------------------------------------------- slow start
 
     @Test
