Read a client connection once in each poll, and at most 16 KiB

Cause: a poll read a connection up to 16 times and 64 KiB each, and decoded all that before anybody else's turn.

A connection is now read once in each poll, 16 KiB at most.

--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -1,7 +1,9 @@
 package pondridge.sidecar;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
@@ -22,6 +24,13 @@
      * that does not read holds little memory.
      */
     private static final WriteBufferWaterMark UNWRITTEN_BYTES = new WriteBufferWaterMark(2 << 10, 4 << 10);
+    /**
+     * In each poll of the event loop a connection is read once, and at most this much, so that a client that
+     * sends without a pause takes turns with all others.
+     */
+    private static final int MAX_READ_BYTES = 16 << 10;
+    private static final RecvByteBufAllocator READS =
+            new AdaptiveRecvByteBufAllocator(64, 2 << 10, MAX_READ_BYTES).maxMessagesPerRead(1);
     /**
      * One eighth more connections than the limit are accepted, and each request on them is refused with a
      * response. Connections beyond that are closed without one.
@@ -73,6 +82,7 @@
         ClientConnection connection = new ClientConnection(this, dispatcher, channel, decoder,
                 connections.size() >= maxConnections, waitedNanos);
         channel.config().setWriteBufferWaterMark(UNWRITTEN_BYTES);
+        channel.config().setRecvByteBufAllocator(READS);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new RequestAggregator(memoryBudget),
                 connection);
         return true;
