Start a request only once its client's socket has been read empty

A client that wrote requests and left had them sent on: its close was read in a later poll than they were, so that after a stall of 150 ms attempts began later than the 100 ms after the close that are allowed.

After a stall, or when the last read took as much as it could, ReadBarrier puts the start off until the socket has been read empty and polled once more; at most 0.4 s for a client that sends without a pause. The same holds for requests that start from the queue. The read timeout is cancelled when a request has been read, no longer when it is started.

--- a/src/main/java/pondridge/sidecar/ClientConnection.java
+++ b/src/main/java/pondridge/sidecar/ClientConnection.java
@@ -45,6 +45,7 @@
     private final boolean overLimit;
     private final long acceptDelayNanos;
     private final RequestQueue queue;
+    private final ReadBarrier readBarrier;
     /**
      * Whether a request has been started, or is about to be, and has no response yet. Stays true after the
      * last response, so that no further request is started.
@@ -87,6 +88,7 @@
         this.overLimit = overLimit;
         this.acceptDelayNanos = acceptDelayNanos;
         this.queue = new RequestQueue(channel, this::abortRequestsBefore);
+        this.readBarrier = new ReadBarrier(channel);
     }
 
     /** Netty calls this once the channel is registered with the event loop. */
@@ -158,14 +160,16 @@
         // A request in the first read may have arrived before the connection was accepted.
         long now = System.nanoTime();
         long unreadNanos = frontend.loopMonitor().maxUnreadNanos(now) + channel.lastDelayNanos();
-        long receivedAt = now - Math.max(firstReadComplete ? 0 : acceptDelayNanos,
+        long waitedNanos = Math.max(firstReadComplete ? 0 : acceptDelayNanos,
                 unreadNanos < MIN_STALL_NANOS ? 0 : unreadNanos);
+        long receivedAt = now - waitedNanos;
         if (disconnected) {
             request.memory().close();
         } else if (!requestInProgress && queue.isEmpty() && channel.isWritable()) {
             // Started once all that has arrived is read: the client's close may follow the request.
             requestInProgress = true;
-            channel.eventLoop().execute(() -> start(request, receivedAt));
+            readTimeout.cancel();
+            readBarrier.runWhenRead(waitedNanos >= MIN_STALL_NANOS, () -> start(request, receivedAt));
         } else if (queue.size() >= MAX_QUEUED_REQUESTS) {
             request.memory().close();
             close();
@@ -224,7 +228,7 @@
         }
         // Not called directly: a series of malformed requests would recurse once for each of them.
         requestInProgress = true;
-        channel.eventLoop().execute(() -> startQueued(next));
+        readBarrier.runWhenRead(false, () -> startQueued(next));
     }
 
     private void startQueued(RequestQueue.Entry next) {
--- a/src/main/java/pondridge/sidecar/RetryingSocketChannel.java
+++ b/src/main/java/pondridge/sidecar/RetryingSocketChannel.java
@@ -29,6 +29,8 @@
     /** For how long reads had failed before the bytes that have been read since the socket was empty. */
     private long lastDelayNanos;
     private long writeFailingSince;
+    private long readCount;
+    private boolean lastReadFilledBuffer;
 
     /** Creates a channel that is not connected. */
     RetryingSocketChannel() {
@@ -47,6 +49,7 @@
     @Override
     protected int doReadBytes(ByteBuf buffer) throws Exception {
         int count;
+        int room = buffer.writableBytes();
         try {
             count = super.doReadBytes(buffer);
         } catch (IOException e) {
@@ -60,6 +63,8 @@
             return 0;
         }
         if (count > 0) {
+            readCount++;
+            lastReadFilledBuffer = count == room;
             readError = null;
             endDelay();
         } else {
@@ -68,6 +73,16 @@
         return count;
     }
 
+    /** How many reads have brought bytes. */
+    long readCount() {
+        return readCount;
+    }
+
+    /** Whether the last read that brought bytes took as many as it could, so that more may wait. */
+    boolean lastReadFilledBuffer() {
+        return lastReadFilledBuffer;
+    }
+
     /**
      * Whether bytes, the end of the stream or an error wait in the socket. A byte that is found is lost, so
      * that the connection can only be closed then.
