Send no unsafe or keyed request again whose id may have run

The sidecar did not compare ids.

A request with a known id is answered as failed and not sent; one that was refused may come again.

--- a/src/main/java/pondridge/sidecar/RequestDispatcher.java
+++ b/src/main/java/pondridge/sidecar/RequestDispatcher.java
@@ -138,6 +138,11 @@
             this.requestClass = requestClass;
         }
 
+        /** Whether the class permits the request to run any number of times. */
+        boolean mayRunTwice() {
+            return requestClass.semantics() == Semantics.REPEATABLE;
+        }
+
         /** Whether a further attempt is safe: the class permits repeats, or no attempt can have run. */
         boolean isSafeToRetry() {
             return requestClass.semantics() != Semantics.ONCE || !mayHaveRun;
@@ -170,6 +175,7 @@
     private final PeerMessenger peerMessenger;
     private final FailedRequestLog failedRequestLog = new FailedRequestLog(System.err);
     private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
+    private final RequestIdRegistry requestIds;
     /** Names (uids) of the listed upstreams, by the id under which the balancer knows them. */
     private final Map<Long, String> upstreamNames = new HashMap<>();
     private final Map<String, Integer> zoneIndices = new HashMap<>();
@@ -195,6 +201,8 @@
         this.guard = new LifecycleGuard(loop);
         this.classes = settings.classes();
         this.balancer = new Rules(settings, config.seed(), this);
+        this.requestIds = new RequestIdRegistry(
+                classes.stream().mapToLong(RequestClass::deadline).max().orElse(0));
         this.maxAttempts = settings.capabilities().maxAttempts();
         this.maxPendingRequests = maxPendingRequests;
         this.automaticDiscovery = settings.discovery() == Balancer.DiscoveryMode.AUTOMATIC;
@@ -350,7 +358,7 @@
      * Submits a request. The client may get its final response before this method returns. The request's
      * memory is released when the request has ended and none of its attempts is in flight.
      *
-     * @return the request's id for {@link #clientDisconnected} and {@link #abort}; 0 if it has been refused
+     * @return the request's id for {@link #clientDisconnected} and {@link #abort}; 0 if it has its response
      */
     long submit(ClientRequest clientRequest, ClientCallback client) {
         if (pendingRequests.size() >= maxPendingRequests) {
@@ -369,10 +377,14 @@
             client.onRefused(0);
             return 0;
         }
-        long id = ++lastRequestId;
         PendingRequest pending = new PendingRequest(clientRequest, client,
                 classes.get(clientRequest.classIndex()));
         pending.submittedAt = now();
+        if (!pending.mayRunTwice() && !requestIds.begin(clientRequest.id(), pending.submittedAt)) {
+            failAsRepeated(clientRequest, client);
+            return 0;
+        }
+        long id = ++lastRequestId;
         pendingRequests.put(id, pending);
         // Reserves time for two stalls, since the client's timeout runs from its send: one may have left the
         // request unread, another may delay the response.
@@ -394,6 +406,14 @@
         return id;
     }
 
+    /** Fails a request whose id is that of one that is open or may have run: it must not run again. */
+    private void failAsRepeated(ClientRequest clientRequest, ClientCallback client) {
+        clientRequest.memory().close();
+        failedRequestLog.add(now(), () -> FailedRequestLog.line(clientRequest.id(),
+                clientRequest.className(), "failed", "REPEATED_ID", 0, List.of()));
+        client.onFailed();
+    }
+
     /** The client has disconnected: finishes its request without a response. */
     void clientDisconnected(long id) {
         PendingRequest pending = pendingRequests.get(id);
@@ -476,8 +496,10 @@
     }
 
     private void removeIfComplete(long id, PendingRequest pending) {
-        if (pending.finished && pending.attemptsInFlight == 0) {
-            pendingRequests.remove(id);
+        if (pending.finished && pending.attemptsInFlight == 0 && pendingRequests.remove(id) != null) {
+            if (!pending.mayRunTwice()) {
+                requestIds.end(pending.clientRequest.id(), pending.mayHaveRun, now());
+            }
             pending.clientRequest.memory().close();
         }
     }
