--- a/src/test/java/pondridge/sidecar/MemoryLimitIT.java
+++ b/src/test/java/pondridge/sidecar/MemoryLimitIT.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -27,6 +29,11 @@
     private static final int LONG_RESPONSES_EACH = 6;
     private static final int OTHER_CLIENT_TIMEOUT_MS = 2_000;
     private static final int KINDS_OF_CLIENTS = 4;
+    private static final int LEAST_LIMIT_MB = 48;
+    private static final int MANY_CONNECTIONS = 340;
+    private static final int DEADLINE_MS = 4_000;
+    /** How late after its deadline a response counts as missing. */
+    private static final int LATE_MS = 550;
 
     @TempDir
     private Path directory;
@@ -81,6 +88,48 @@
         }
     }
 
+    /** The heap is full of what the budget does not count: full collections stall the event loop. */
+    @Test
+    void responsesCameLateUnderALowLimitWithManyConnections() throws Exception {
+        InetSocketAddress address = DeployedProcess.freeAddress();
+        String body = "r".repeat(LONG_BODY_BYTES);
+        try (FakeUpstream first = FakeUpstream.serving(body);
+                FakeUpstream second = FakeUpstream.serving(body);
+                FakeUpstream third = FakeUpstream.serving(body);
+                FakeUpstream fourth = FakeUpstream.serving(body)) {
+            ObjectNode json = SidecarHarness.configJson(first, second, third, fourth);
+            json.withObject("/settings").withArray("/profiles").forEach(profile -> ((ObjectNode) profile)
+                    .put("slo", DEADLINE_MS * 1_000_000L).put("deadline", DEADLINE_MS * 1_000_000L));
+            json.put("listen", "127.0.0.1:" + address.getPort());
+            json.withObject("/limits").put("memory_mb", LEAST_LIMIT_MB);
+            sidecar = new DeployedProcess("run", json, directory);
+            sidecar.awaitUp(address);
+            AtomicInteger unanswered = new AtomicInteger();
+            for (int i = 0; i < MANY_CONNECTIONS; i++) {
+                SidecarHarness.Client client = new SidecarHarness.Client(address);
+                clients.add(client);
+                client.socket.setSoTimeout(DEADLINE_MS + LATE_MS);
+                readers.add(FakeUpstream.startThread(() -> countUnanswered(client, unanswered)));
+            }
+            for (Thread reader : readers) {
+                reader.join();
+            }
+            assertEquals(0, unanswered.get(), "clients with a response missing or late");
+        }
+    }
+
+    private static void countUnanswered(SidecarHarness.Client client, AtomicInteger unanswered) {
+        String request = SidecarHarness.safeRequest("long").replace(
+                "Req-Deadline-Ms: " + SidecarHarness.DEADLINE_MS, "Req-Deadline-Ms: " + DEADLINE_MS);
+        try {
+            for (int i = 0; i < 4 * LONG_RESPONSES_EACH; i++) {
+                client.exchange(request);
+            }
+        } catch (IOException e) {
+            unanswered.incrementAndGet();
+        }
+    }
+
     private void beginRequests() throws IOException {
         for (int i = 0; i < clients.size(); i++) {
             SidecarHarness.Client client = clients.get(i);
